Warm-up level: raised by the responsible daemon only, carried with its own time

Every daemon counted its own answers, each level needed 16 answers per attempt in flight, and a newer claim of a lower level overwrote the responsible daemon's. Ruled out: adding up all daemons' answers (needs a counter shared by all). Change: only the responsible daemon raises the level, after 32 answers; claims carry when the level was set, and the later one wins.

--- a/lacewingknot/control/peer_controller.cc
+++ b/lacewingknot/control/peer_controller.cc
@@ -155,7 +155,8 @@
     reply.claims.push_back({.upstream = item.upstream,
                             .instance = item.claim.instance,
                             .level = item.claim.level,
-                            .age_ms = AgeMs(item.claim.evidence_at, now)});
+                            .age_ms = AgeMs(item.claim.evidence_at, now),
+                            .level_age_ms = AgeMs(item.claim.level_at, now)});
   }
   return reply;
 }
@@ -180,13 +181,16 @@
   permit_.OnExchange(pending.peer, true, pending.sent_at);
   TakeView(pending, reply.view);
   for (const PeerClaim& claim : reply.claims) {
-    // The reply was made after the request was sent, so the evidence is at
+    // The reply was made after the request was sent, so what it tells is at
     // least as recent as this, however long the messages took.
-    const TimePoint evidence_at =
-        pending.sent_at - std::chrono::milliseconds(claim.age_ms);
-    options_.on_claim(claim.upstream, {.instance = claim.instance,
-                                       .level = claim.level,
-                                       .evidence_at = evidence_at});
+    const auto at_least = [&](std::int64_t age_ms) {
+      return pending.sent_at - std::chrono::milliseconds(age_ms);
+    };
+    options_.on_claim(claim.upstream,
+                      {.instance = claim.instance,
+                       .level = claim.level,
+                       .evidence_at = at_least(claim.age_ms),
+                       .level_at = at_least(claim.level_age_ms)});
   }
 }
 
--- a/lacewingknot/peer/message.h
+++ b/lacewingknot/peer/message.h
@@ -69,8 +69,9 @@
   std::string upstream;
   std::string instance;
   std::int64_t level = 0;
-  std::int64_t age_ms = 0;
-  MSGPACK_DEFINE(upstream, instance, level, age_ms);
+  std::int64_t age_ms = 0;        // Since the instance last answered.
+  std::int64_t level_age_ms = 0;  // Since the level was set.
+  MSGPACK_DEFINE(upstream, instance, level, age_ms, level_age_ms);
 };
 
 struct ExchangeReply {
--- a/lacewingknot/policy/upstream_table.cc
+++ b/lacewingknot/policy/upstream_table.cc
@@ -247,7 +247,8 @@
   Entry& entry = *entries_[upstream];
   entry.failures = 0;
   entry.versions.assign(evidence.versions.begin(), evidence.versions.end());
-  entry.warmth.OnCompletion(LimitsOf(entry), evidence.instance, now);
+  const bool owner = fleet_.IsOwner(PlacementOf(entry), now);
+  entry.warmth.OnCompletion(LimitsOf(entry), evidence.instance, owner, now);
   const double micros =
       std::chrono::duration<double, std::micro>(evidence.latency).count();
   entry.latency_micros += kLatencyWeight * (micros - entry.latency_micros);
@@ -277,7 +278,7 @@
       break;
     case ErrorType::kShed:
     case ErrorType::kTimeout: {
-      entry.warmth.OnOverload(LimitsOf(entry));
+      entry.warmth.OnOverload(LimitsOf(entry), now);
       const std::int64_t limit =
           entry.shed_limit > 0 ? entry.shed_limit : entry.in_flight;
       if (type == ErrorType::kShed) {
--- a/lacewingknot/policy/warmth.cc
+++ b/lacewingknot/policy/warmth.cc
@@ -36,51 +36,67 @@
   return trusted;
 }
 
-void Warmth::StartCold(const Limits& limits, std::string_view instance) {
+void Warmth::StartCold(const Limits& limits, std::string_view instance,
+                       TimePoint now) {
   instance_ = instance;
   level_ = limits.cold_concurrency;
+  level_at_ = now;
   completions_ = 0;
 }
 
 bool Warmth::OnCompletion(const Limits& limits, std::string_view instance,
-                          TimePoint now) {
-  if (instance != instance_) StartCold(limits, instance);
+                          bool owner, TimePoint now) {
+  if (instance != instance_) StartCold(limits, instance, now);
   suspect_ = false;
   evidence_at_ = now;
-  if (level_ >= limits.connections) return false;
-  ++completions_;
-  if (completions_ < level_ * limits.warmup_completions) return false;
+  if (!owner || level_ >= limits.connections) return false;
+  if (++completions_ < limits.warmup_completions) return false;
   completions_ = 0;
   level_ = std::min(level_ * 2, limits.connections);
+  level_at_ = now;
   return level_ >= limits.connections;
 }
 
-bool Warmth::OnOverload(const Limits& limits) {
+bool Warmth::OnOverload(const Limits& limits, TimePoint now) {
   completions_ = 0;
   const bool warming = level_ < limits.connections;
   if (!warming || level_ <= limits.cold_concurrency) return false;
   level_ = std::max(level_ / 2, limits.cold_concurrency);
+  level_at_ = now;
   return true;
 }
 
+bool Warmth::TakeLevel(const WarmthClaim& claim) {
+  const bool changed = claim.level != level_;
+  if (changed) completions_ = 0;
+  level_ = claim.level;
+  level_at_ = claim.level_at;
+  return changed;
+}
+
 bool Warmth::OnClaim(const WarmthClaim& claim) {
+  if (claim.instance.empty()) return false;
+  const bool same = claim.instance == instance_;
+  bool changed = false;
+  if (same && claim.level_at > level_at_) changed = TakeLevel(claim);
   const bool newer = claim.evidence_at > evidence_at_ &&
                      (!suspect_ || claim.evidence_at > suspect_since_);
-  if (!newer || claim.instance.empty()) return false;
-  const bool changed =
-      suspect_ || claim.instance != instance_ || claim.level != level_;
-  if (claim.instance != instance_ || claim.level != level_) completions_ = 0;
-  instance_ = claim.instance;
-  level_ = claim.level;
+  if (!newer) return changed;
   evidence_at_ = claim.evidence_at;
+  changed = changed || suspect_ || !same;
   suspect_ = false;
-  return changed;
+  if (same) return changed;
+  instance_ = claim.instance;
+  TakeLevel(claim);
+  return true;
 }
 
 std::optional<WarmthClaim> Warmth::Claim() const {
   if (suspect_ || instance_.empty()) return std::nullopt;
-  return WarmthClaim{
-      .instance = instance_, .level = level_, .evidence_at = evidence_at_};
+  return WarmthClaim{.instance = instance_,
+                     .level = level_,
+                     .evidence_at = evidence_at_,
+                     .level_at = level_at_};
 }
 
 }  // namespace lacewingknot
--- a/lacewingknot/policy/warmth.h
+++ b/lacewingknot/policy/warmth.h
@@ -2,10 +2,11 @@
 //
 // The level is the number of attempts in flight that the upstream is trusted
 // to bear from all daemons together. It starts at `cold_concurrency`, doubles
-// after `warmup_completions` answers per attempt in flight, and is full at the
-// upstream's connection limit. While the level is below the number of daemons
-// only the responsible daemon may send; above it every daemon has an equal
-// share. A shed answer or a timeout while warming halves the level.
+// after each `warmup_completions` answers, and is full at the upstream's
+// connection limit. While the level is below the number of daemons only the
+// responsible daemon may send; above it every daemon has an equal share. Only
+// the responsible daemon raises the level; the others learn it from peers'
+// claims. A shed answer or a timeout while warming halves it.
 //
 // An upstream is presumed cold until an answer, or a peer's recent claim,
 // proves that the instance that was warm still runs: a restarted upstream
@@ -31,7 +32,8 @@
 struct WarmthClaim {
   std::string instance;
   std::int64_t level = 0;
-  TimePoint evidence_at{};
+  TimePoint evidence_at{};  // The instance last answered.
+  TimePoint level_at{};     // The level was last raised or lowered.
 };
 
 class Warmth {
@@ -39,7 +41,7 @@
   struct Limits {
     bool enabled = true;
     std::int64_t cold_concurrency = 1;
-    std::int64_t warmup_completions = 16;
+    std::int64_t warmup_completions = 32;
     std::int64_t connections = 25;
   };
 
@@ -63,16 +65,17 @@
 
   // An answer of `instance` to work that was completed. Returns true if the
   // upstream became warm by it.
-  bool OnCompletion(const Limits& limits, std::string_view instance,
+  bool OnCompletion(const Limits& limits, std::string_view instance, bool owner,
                     TimePoint now);
 
   // The upstream shed work or did not answer in time. Returns true if the
   // level fell.
-  bool OnOverload(const Limits& limits);
+  bool OnOverload(const Limits& limits, TimePoint now);
 
-  // Takes a peer's claim if its evidence is newer than all that is known here.
-  // `claim.evidence_at` must be a lower bound: a delayed message must not make
-  // old evidence look new. Returns true if the instance or the level changed.
+  // Takes a peer's claim: the instance if its evidence is newer than all that
+  // is known here, the level of the same instance if it was set later. Times
+  // must be lower bounds: a delayed message must not make old evidence look
+  // new. Returns true if the instance or the level changed.
   bool OnClaim(const WarmthClaim& claim);
 
   // Empty while there is no evidence to share.
@@ -89,13 +92,16 @@
   TimePoint evidence_at() const { return evidence_at_; }
 
  private:
-  void StartCold(const Limits& limits, std::string_view instance);
+  void StartCold(const Limits& limits, std::string_view instance,
+                 TimePoint now);
+  bool TakeLevel(const WarmthClaim& claim);
 
   std::string instance_;
   std::int64_t level_ = 0;
   std::int64_t completions_ = 0;  // At the present level.
   bool suspect_ = true;
   TimePoint evidence_at_{};
+  TimePoint level_at_{};
   TimePoint suspect_since_{};
 };
 
--- a/lacewingknot/settings/schema.cc
+++ b/lacewingknot/settings/schema.cc
@@ -34,9 +34,7 @@
     {Key::kColdConcurrency, "cold_concurrency", Kind::kInteger, 1, 1'000, "1",
      "", "Attempts in flight, over all daemons, that a cold upstream bears."},
     {Key::kWarmupCompletions, "warmup_completions", Kind::kInteger, 1, 100'000,
-     "16", "",
-     "Answers, per attempt in flight, that double the work allowed to a "
-     "warming upstream."},
+     "32", "", "Answers that double the work allowed to a warming upstream."},
     {Key::kConnections, "connections", Kind::kInteger, 1, 100'000, "25", "",
      "Connections an upstream accepts, from all daemons together."},
     {Key::kSlots, "slots", Kind::kInteger, 1, 10'000, "2", "",
--- a/testing/load_main.cc
+++ b/testing/load_main.cc
@@ -300,6 +300,7 @@
   const double millis =
       std::chrono::duration<double, std::milli>(now - intended_at).count();
   tally_.latencies_ms.push_back(millis);
+  if (tally_.latencies_ms.size() == total_) io_.stop();
   if (!timeline_ || options_.writes) return;
   const double at =
       std::chrono::duration<double>(intended_at - started_at_).count();
