--- a/lacewingknot/control/peer_controller.cc
+++ b/lacewingknot/control/peer_controller.cc
@@ -18,8 +18,9 @@
 // Neighbours that a fresh daemon of a large fleet asks before it is ready.
 constexpr std::size_t kEnoughAsked = 8;
 
-// Upstreams named in one request.
-constexpr std::size_t kMaxWanted = 256;
+// Upstreams named in one request; the next request goes on from there. Bounds
+// what control sends when a whole data centre is cold.
+constexpr std::size_t kMaxWanted = 16;
 
 constexpr std::string_view kSettingsDocument = "settings";
 constexpr std::string_view kListDocument = "vms";
@@ -106,13 +107,7 @@
 }
 
 void PeerController::Exchange(const VmEntry& peer, TimePoint now) {
-  ExchangeRequest request{.view = Digest(), .wanted = {}};
-  if (const auto evidence = board_.evidence.Read()) {
-    const std::size_t count = std::min(kMaxWanted, evidence->wanted.size());
-    request.wanted.assign(
-        evidence->wanted.begin(),
-        evidence->wanted.begin() + static_cast<std::ptrdiff_t>(count));
-  }
+  const ExchangeRequest request{.view = Digest(), .wanted = NextWanted()};
   const auto sent = options_.send(peer, PeerMessageKind::kExchangeRequest,
                                   EncodePeerBody(request));
   if (!sent) {
@@ -127,6 +122,18 @@
                             .document = ""};
 }
 
+std::vector<std::string> PeerController::NextWanted() {
+  std::vector<std::string> wanted;
+  const auto evidence = board_.evidence.Read();
+  if (evidence == nullptr) return wanted;
+  const std::vector<std::string>& all = evidence->wanted;
+  const std::size_t count = std::min(kMaxWanted, all.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    wanted.push_back(all[next_wanted_++ % all.size()]);
+  }
+  return wanted;
+}
+
 void PeerController::ExpirePending(TimePoint now) {
   std::erase_if(pending_, [&](const auto& entry) {
     const Pending& pending = entry.second;
--- a/lacewingknot/control/peer_controller.h
+++ b/lacewingknot/control/peer_controller.h
@@ -80,6 +80,7 @@
 
   void BeginExchanges(TimePoint now);
   void Exchange(const VmEntry& peer, TimePoint now);
+  std::vector<std::string> NextWanted();
   void ExpirePending(TimePoint now);
   void Fetch(const Pending& from, const std::string& document);
   void TakeView(const Pending& from, const ViewDigest& view);
@@ -94,6 +95,7 @@
   VmListPtr neighbours_of_;
   std::vector<const VmEntry*> neighbours_;
   std::size_t next_neighbour_ = 0;
+  std::size_t next_wanted_ = 0;
   std::set<std::string> asked_;
   TimePoint next_exchange_at_{};
   std::map<std::uint64_t, Pending> pending_;
--- a/lacewingknot/peer/channel.cc
+++ b/lacewingknot/peer/channel.cc
@@ -74,6 +74,7 @@
   std::shared_ptr<PeerSocket> SocketTo(const std::string& address);
   void Retain(const std::vector<std::string>& addresses);
   void Stop();
+  std::uint64_t bytes() const { return bytes_.load(); }
 
  private:
   static void OnReceive(void* self);
@@ -82,6 +83,7 @@
   nng_socket pull_{};
   nng_aio* aio_ = nullptr;
   bool listening_ = false;
+  std::atomic<std::uint64_t> bytes_{0};
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<PeerSocket>> sockets_;
 };
@@ -112,6 +114,7 @@
   if (result == NNG_ECLOSED || result == NNG_ECANCELED) return;
   if (result == 0) {
     nng_msg* message = nng_aio_get_msg(impl->aio_);
+    impl->bytes_ += nng_msg_len(message);
     impl->options_.on_message({static_cast<const char*>(nng_msg_body(message)),
                                nng_msg_len(message)});
     nng_msg_free(message);
@@ -129,7 +132,10 @@
 
 Result<void> PeerChannel::Impl::Send(const std::string& address,
                                      std::string_view bytes) {
-  if (SocketTo(address)->Send(bytes)) return Ok();
+  if (SocketTo(address)->Send(bytes)) {
+    bytes_ += bytes.size();
+    return Ok();
+  }
   return Error{ErrorType::kPeerUnreachable, address};
 }
 
@@ -171,5 +177,6 @@
   impl_->Retain(addresses);
 }
 void PeerChannel::Stop() { impl_->Stop(); }
+std::uint64_t PeerChannel::bytes() const { return impl_->bytes(); }
 
 }  // namespace lacewingknot
--- a/lacewingknot/peer/channel.h
+++ b/lacewingknot/peer/channel.h
@@ -15,6 +15,7 @@
 #ifndef LACEWINGKNOT_PEER_CHANNEL_H_
 #define LACEWINGKNOT_PEER_CHANNEL_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,6 +50,9 @@
 
   void Stop();
 
+  // Bytes of messages handed over since the start, in both directions.
+  std::uint64_t bytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/lacewingknot/policy/fleet_view.cc
+++ b/lacewingknot/policy/fleet_view.cc
@@ -54,6 +54,8 @@
     past_.pop_front();
   }
   list_ = std::move(list);
+  size_ = EntryVmCount(*list_);
+  owners_.clear();
   confirmed_at_ = TimePoint{};
   return true;
 }
@@ -73,24 +75,27 @@
 }
 
 const VmEntry* FleetView::Owner(const Placement& placement) const {
-  return list_ == nullptr ? nullptr : RendezvousOwner(*list_, placement);
+  if (list_ == nullptr) return nullptr;
+  const auto [owner, added] =
+      owners_.try_emplace(std::string(placement.upstream), nullptr);
+  if (added) owner->second = RendezvousOwner(*list_, placement);
+  return owner->second;
 }
 
 bool FleetView::IsOwner(const Placement& placement, TimePoint now) const {
+  const VmEntry* owner = Owner(placement);
+  if (owner == nullptr || owner->id != options_.self) return false;
   if (!LeaseValid(now)) return false;
   if (now - options_.started_at <= options_.lease) return false;
-  const auto owned_under = [&](const VmList& list) {
-    const VmEntry* owner = RendezvousOwner(list, placement);
-    return owner != nullptr && owner->id == options_.self;
-  };
-  if (!owned_under(*list_)) return false;
   return std::all_of(past_.begin(), past_.end(), [&](const PastList& past) {
-    return now - past.superseded_at > options_.lease || owned_under(*past.list);
+    if (now - past.superseded_at > options_.lease) return true;
+    const VmEntry* earlier = RendezvousOwner(*past.list, placement);
+    return earlier != nullptr && earlier->id == options_.self;
   });
 }
 
 std::size_t FleetView::FleetSize(TimePoint now) const {
-  std::size_t size = list_ == nullptr ? 1 : EntryVmCount(*list_);
+  std::size_t size = size_;
   for (const PastList& past : past_) {
     if (now - past.superseded_at > options_.lease) continue;
     size = std::max(size, EntryVmCount(*past.list));
--- a/lacewingknot/policy/fleet_view.h
+++ b/lacewingknot/policy/fleet_view.h
@@ -28,6 +28,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "lacewingknot/base/clock.h"
@@ -91,7 +92,8 @@
   // True if this daemon alone may give work to a cold `placement` now.
   bool IsOwner(const Placement& placement, TimePoint now) const;
 
-  // The VM responsible under the current list; null if there is none.
+  // The VM responsible under the current list; null if there is none. Computed
+  // once for each upstream and list.
   const VmEntry* Owner(const Placement& placement) const;
 
   // The largest fleet under any list held in the last lease, at least 1: the
@@ -102,6 +104,9 @@
   // connection to an upstream until then.
   bool MayShare(TimePoint now) const;
 
+  // Upstreams have moved between data centres.
+  void OnPlacementsChanged() { owners_.clear(); }
+
   const VmListPtr& list() const { return list_; }
   TimePoint confirmed_at() const { return confirmed_at_; }
 
@@ -113,11 +118,14 @@
 
   Options options_;
   VmListPtr list_;
+  std::size_t size_ = 1;  // EntryVmCount of `list_`.
   TimePoint confirmed_at_{};
   TimePoint first_listed_at_{};
   bool listed_ = false;
   std::uint64_t highest_peer_revision_ = 0;
   std::deque<PastList> past_;
+  // Owners under `list_`, which holds the entries.
+  mutable std::unordered_map<std::string, const VmEntry*> owners_;
 };
 
 }  // namespace lacewingknot
--- a/lacewingknot/policy/upstream_table.cc
+++ b/lacewingknot/policy/upstream_table.cc
@@ -33,6 +33,7 @@
 void UpstreamTable::ApplySettings(SettingsPtr settings) {
   settings_ = std::move(settings);
   fleet_.set_lease(settings_->fleet.view_lease);
+  fleet_.OnPlacementsChanged();
   for (const auto& entry : entries_) entry->present = false;
   for (const auto& [name, node] : settings_->upstreams) {
     const auto [at, added] = by_name_.try_emplace(
