--- /dev/null
+++ b/lacewingknot/base/event_log_test.cc
@@ -0,0 +1,52 @@
+#include "lacewingknot/base/event_log.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "lacewingknot/base/error.h"
+#include "lacewingknot/settings/schema.h"
+
+namespace lacewingknot {
+namespace {
+
+std::string ReadDoc(const std::string& name) {
+  std::ifstream file(std::string(LACEWINGKNOT_SOURCE_DIR) + "/docs/" + name);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+TEST(EventCatalogueTest, EveryEvent_InTheCatalogue_WithItsNumberAndName) {
+  const std::string catalogue = ReadDoc("EVENTS.md");
+  std::set<Event> numbers;
+  for (const EventInfo& info : AllEvents()) {
+    EXPECT_TRUE(numbers.insert(info.event).second);
+    const std::string row = "| E" +
+                            std::to_string(static_cast<int>(info.event)) +
+                            " | " + std::string(info.name) + " |";
+    EXPECT_NE(catalogue.find(row), std::string::npos) << row;
+  }
+}
+
+TEST(ErrorCatalogueTest, EveryErrorType_HasANameThatLeadsBack) {
+  for (int type = 0; type <= static_cast<int>(ErrorType::kOutcomeUnknown);
+       ++type) {
+    const auto name = ErrorTypeName(static_cast<ErrorType>(type));
+    EXPECT_EQ(ErrorTypeFromName(name), static_cast<ErrorType>(type));
+  }
+}
+
+TEST(SettingsReferenceTest, EverySetting_InTheOperatorsReference_WithDefault) {
+  const std::string reference = ReadDoc("operators/settings.md");
+  for (const SettingInfo& info : AllSettings()) {
+    const std::string row = "| " + std::string(info.name) + " | " +
+                            std::string(info.default_text) + " |";
+    EXPECT_NE(reference.find(row), std::string::npos) << row;
+  }
+}
+
+}  // namespace
+}  // namespace lacewingknot
--- a/lacewingknot/control/peer_controller.cc
+++ b/lacewingknot/control/peer_controller.cc
@@ -207,7 +207,10 @@
                                .content_hash = view.settings_hash};
   highest_settings_revision_ =
       std::max(highest_settings_revision_, theirs.revision);
-  if (theirs > own) {
+  const bool newer = theirs.revision > own.revision ||
+                     (theirs.revision == own.revision &&
+                      theirs.content_hash > own.content_hash);
+  if (newer) {
     Fetch(from, std::string(kSettingsDocument));
   } else if (theirs == own && view.settings_age_ms >= 0) {
     settings_.OnConfirmed(from.sent_at -
@@ -227,8 +230,9 @@
   // While the platform answers nobody, the word of every peer renews the list:
   // then nobody can hold a newer one.
   list_agreed_at_[from.peer] = from.sent_at;
-  if (neighbours_.empty() || list_agreed_at_.size() < neighbours_.size())
-    return;
+  const bool all_agree =
+      !neighbours_.empty() && list_agreed_at_.size() >= neighbours_.size();
+  if (!all_agree) return;
   const auto oldest = std::min_element(
       list_agreed_at_.begin(), list_agreed_at_.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
--- a/lacewingknot/ctl/commands.cc
+++ b/lacewingknot/ctl/commands.cc
@@ -18,8 +18,9 @@
 
 Result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path);
-  if (!file)
+  if (!file) {
     return Error{ErrorType::kInvalidRequest, path + ": cannot be read"};
+  }
   std::stringstream text;
   text << file.rdbuf();
   return text.str();
--- a/lacewingknot/daemon/daemon_settings.h
+++ b/lacewingknot/daemon/daemon_settings.h
@@ -33,7 +33,7 @@
   Duration drain_notice = std::chrono::seconds(2);
   std::int64_t http_threads = 2;
   std::int64_t max_sessions = 512;
-  std::int64_t max_body_bytes = 64 * 1024;
+  std::int64_t max_body_bytes = 65'536;
 };
 
 struct ParsedDaemonSettings {
--- a/lacewingknot/http/client.cc
+++ b/lacewingknot/http/client.cc
@@ -33,7 +33,7 @@
   web::http::http_request request(method);
   request.set_request_uri(target);
   if (!body.empty()) request.set_body(body, "application/json");
-  return client_->request(request).then([](http_response response) {
+  return client_->request(request).then([](const http_response& response) {
     return response.extract_utf8string(true).then(
         [response](const std::string& text) {
           ClientReply reply;
--- a/lacewingknot/http/server.h
+++ b/lacewingknot/http/server.h
@@ -43,7 +43,7 @@
  public:
   struct Options {
     std::string listen;  // "IP:PORT".
-    std::size_t max_body_bytes = 64 * 1024;
+    std::size_t max_body_bytes = 65'536;
     std::function<void(ServerRequest, Respond)> handler;
     // Makes the body of the reply to a request that the server refuses itself.
     std::function<std::string(const Error&)> refusal_body;
--- a/lacewingknot/policy/fleet_view_test.cc
+++ b/lacewingknot/policy/fleet_view_test.cc
@@ -110,6 +110,7 @@
   const Placement placement{"u1", "a"};
   ManualClock clock;
   std::vector<FleetView> views;
+  views.reserve(kDaemons);
   for (int vm = 0; vm < kDaemons; ++vm) {
     views.emplace_back(FleetView::Options{.self = "vm-" + std::to_string(vm),
                                           .lease = kLease});
--- a/lacewingknot/policy/settings_order.h
+++ b/lacewingknot/policy/settings_order.h
@@ -15,8 +15,8 @@
   std::uint64_t revision = 0;
   std::uint64_t content_hash = 0;
 
-  friend auto operator<=>(const SettingsVersion&,
-                          const SettingsVersion&) = default;
+  friend bool operator==(const SettingsVersion&,
+                         const SettingsVersion&) = default;
 };
 
 enum class SettingsDecision {
