Replica choice by expected time; late answers are evidence

The loser of a hedge was dropped without a trace, so a slow replica kept its old latency, which was being forgotten. Change: an abandoned attempt runs on and its answer counts; a timeout counts as a sample.

--- a/lacewingknot/policy/upstream_table.cc
+++ b/lacewingknot/policy/upstream_table.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/policy/upstream_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewingknot {
 namespace {
@@ -20,6 +21,12 @@
 // Weight of the newest latency in the moving average.
 constexpr double kLatencyWeight = 0.1;
 
+// Time in which the latency of an upstream that is not used counts for half.
+constexpr Duration kLatencyHalfLife = std::chrono::seconds(4);
+
+// Latencies below this are alike.
+constexpr double kLatencyFloorMicros = 1'000;
+
 template <typename Range, typename Value>
 bool Contains(const Range& range, const Value& value) {
   return std::find(range.begin(), range.end(), value) != range.end();
@@ -169,6 +176,22 @@
   return Allowance(*entries_[upstream], now);
 }
 
+void UpstreamTable::NoteLatency(Entry& entry, Duration latency, TimePoint now) {
+  const double micros =
+      std::chrono::duration<double, std::micro>(latency).count();
+  entry.latency_micros += kLatencyWeight * (micros - entry.latency_micros);
+  entry.latency_at = now;
+}
+
+double UpstreamTable::ExpectedMicros(const Entry& entry, TimePoint now) {
+  // What is not tried is forgotten, so that a replica that was slow is tried
+  // again; the floor keeps noise from deciding between fast ones.
+  const auto unused = std::chrono::duration<double>(now - entry.latency_at);
+  const auto half_life = std::chrono::duration<double>(kLatencyHalfLife);
+  const double kept = std::exp2(-unused.count() / half_life.count());
+  return std::max(entry.latency_micros * kept, kLatencyFloorMicros);
+}
+
 Result<UpstreamTable::Candidate> UpstreamTable::Consider(
     UpstreamHandle upstream, const RouteRequest& request, TimePoint now) const {
   const Entry& entry = *entries_[upstream];
@@ -186,12 +209,11 @@
   }
   const std::int64_t allowance = Allowance(entry, now);
   Candidate candidate{.route = {.upstream = upstream, .relay = nullptr}};
-  // Work that others wait for is dearer; a relay is the last resort.
-  constexpr double kRelayCost = 1e6;
-  const double load = static_cast<double>(entry.in_flight + entry.queued + 1);
-  candidate.cost =
-      load / static_cast<double>(std::max<std::int64_t>(allowance, 1)) +
-      entry.latency_micros * 1e-9;
+  // The time that the attempt is likely to take; a relay is the last resort.
+  constexpr double kRelayCost = 1e12;
+  const double load = static_cast<double>(entry.in_flight + entry.queued + 1) /
+                      static_cast<double>(std::max<std::int64_t>(allowance, 1));
+  candidate.cost = load * ExpectedMicros(entry, now);
   if (allowance > 0) {
     candidate.warming = !entry.warmth.IsFull(LimitsOf(entry)) &&
                         entry.in_flight + entry.queued == 0;
@@ -254,9 +276,7 @@
   entry.versions.assign(evidence.versions.begin(), evidence.versions.end());
   const bool owner = fleet_.IsOwner(PlacementOf(entry), now);
   entry.warmth.OnCompletion(LimitsOf(entry), evidence.instance, owner, now);
-  const double micros =
-      std::chrono::duration<double, std::micro>(evidence.latency).count();
-  entry.latency_micros += kLatencyWeight * (micros - entry.latency_micros);
+  NoteLatency(entry, evidence.latency, now);
   if (entry.shed_limit == 0) return;
   if (++entry.answers_since_shed < kAnswersPerStep) return;
   entry.answers_since_shed = 0;
@@ -283,6 +303,9 @@
       break;
     case ErrorType::kShed:
     case ErrorType::kTimeout: {
+      if (type == ErrorType::kTimeout) {
+        NoteLatency(entry, entry.policy.attempt_timeout, now);
+      }
       entry.warmth.OnOverload(LimitsOf(entry), now);
       const std::int64_t limit =
           entry.shed_limit > 0 ? entry.shed_limit : entry.in_flight;
--- a/lacewingknot/policy/upstream_table.h
+++ b/lacewingknot/policy/upstream_table.h
@@ -170,6 +170,7 @@
     std::int64_t shed_limit = 0;  // 0: none.
     std::int64_t answers_since_shed = 0;
     double latency_micros = 0;
+    TimePoint latency_at{};
   };
 
   // A replica that may be used, and how good a choice it is.
@@ -183,6 +184,8 @@
   Warmth::Limits LimitsOf(const Entry& entry) const;
   std::int64_t Allowance(const Entry& entry, TimePoint now) const;
   std::optional<ErrorType> Refusal(const Entry& entry, TimePoint now) const;
+  static void NoteLatency(Entry& entry, Duration latency, TimePoint now);
+  static double ExpectedMicros(const Entry& entry, TimePoint now);
   Result<Candidate> Consider(UpstreamHandle upstream,
                              const RouteRequest& request, TimePoint now) const;
   bool Serves(const Entry& entry, IndexVersion version) const;
--- a/lacewingknot/traffic/traffic_core.cc
+++ b/lacewingknot/traffic/traffic_core.cc
@@ -258,7 +258,7 @@
 }
 
 void TrafficCore::CancelAttempt(AttemptId attempt) {
-  pool_.Cancel(attempt);
+  pool_.Abandon(attempt);
   relay_client_.Cancel(attempt);
 }
 
--- a/lacewingknot/traffic/upstream_pool.cc
+++ b/lacewingknot/traffic/upstream_pool.cc
@@ -247,6 +247,11 @@
   calls_.erase(at);
 }
 
+void UpstreamPool::Abandon(AttemptId attempt) {
+  const auto at = calls_.find(attempt);
+  if (at != calls_.end() && !at->second.sent) Cancel(attempt);
+}
+
 void UpstreamPool::Release(UpstreamHandle upstream,
                            const std::shared_ptr<Lane>& lane, bool lost) {
   Lanes& lanes = LanesOf(upstream);
--- a/lacewingknot/traffic/upstream_pool.h
+++ b/lacewingknot/traffic/upstream_pool.h
@@ -60,6 +60,10 @@
   // it at once would cost a new connection for each hedge that wins.
   void Cancel(AttemptId attempt);
 
+  // Like Cancel for a call that has not been sent. One that has been goes on,
+  // and `done` is called: what it tells of the upstream still counts.
+  void Abandon(AttemptId attempt);
+
   // Calls waiting or in flight.
   std::size_t outstanding() const { return calls_.size(); }
 
--- a/lacewingknot/traffic/upstream_pool_test.cc
+++ b/lacewingknot/traffic/upstream_pool_test.cc
@@ -224,6 +224,20 @@
   EXPECT_FALSE(called);
 }
 
+TEST_F(UpstreamPoolTest, Abandoned_AnswerArrivesLate_StillCounts) {
+  const SubRequest request = Request();
+  bool called = false;
+  const std::uint64_t sent = upstream_.counts().queries;
+  pool_.Submit(
+      ++attempt_, handle_, milliseconds(300),
+      [&](Duration) { return MakeQueryCall(request); },
+      [&](CallResult) { called = true; });
+  while (upstream_.counts().queries == sent) io_.run_one();
+  pool_.Abandon(attempt_);
+  while (pool_.outstanding() > 0) io_.run_one();
+  EXPECT_TRUE(called);
+}
+
 TEST_F(UpstreamPoolTest, Restart_IdleConnectionClosed_SuspectBeforeNextSend) {
   Publish("warmup = true\ncold_concurrency = 1\n");
   ASSERT_FALSE(table_.Status(handle_, clock_.now()).owner);
