--- a/lacewingknot/traffic/traffic_core.cc
+++ b/lacewingknot/traffic/traffic_core.cc
@@ -198,7 +198,7 @@
 }
 
 void TrafficCore::RunDirect(AttemptId attempt, UpstreamHandle upstream,
-                            SubRequest request, Duration timeout,
+                            const SubRequest& request, Duration timeout,
                             RelayClient::Done done) {
   auto make_call = [request](Duration time_left) {
     SubRequest timed = request;
--- a/lacewingknot/traffic/traffic_core.h
+++ b/lacewingknot/traffic/traffic_core.h
@@ -106,8 +106,9 @@
   Result<void> Admit() const;
   Duration AttemptTimeout(Duration wanted) const;
   void RunRelayed(const RelayItem& item, RelayClient::Done done);
-  void RunDirect(AttemptId attempt, UpstreamHandle upstream, SubRequest request,
-                 Duration timeout, RelayClient::Done done);
+  void RunDirect(AttemptId attempt, UpstreamHandle upstream,
+                 const SubRequest& request, Duration timeout,
+                 RelayClient::Done done);
 
   boost::asio::io_context& io_;
   Blackboard& board_;
--- a/lacewingknot/traffic/upstream_pool.cc
+++ b/lacewingknot/traffic/upstream_pool.cc
@@ -86,7 +86,7 @@
     UpstreamHandle upstream) {
   Lanes& lanes = LanesOf(upstream);
   for (std::size_t i = 0; i < lanes.all.size();) {
-    const std::shared_ptr<Lane> lane = lanes.all[i];
+    std::shared_ptr<Lane> lane = lanes.all[i];
     if (lane->attempt || lane->connecting) {
       ++i;
       continue;
--- a/lacewingknot/traffic/upstream_pool_test.cc
+++ b/lacewingknot/traffic/upstream_pool_test.cc
@@ -217,7 +217,7 @@
   pool_.Submit(
       ++attempt_, handle_, milliseconds(300),
       [&](Duration) { return MakeQueryCall(request); },
-      [&](CallResult) { called = true; });
+      [&](const CallResult&) { called = true; });
   io_.poll();
   pool_.Cancel(attempt_);
   ASSERT_TRUE(Query());
@@ -231,7 +231,7 @@
   pool_.Submit(
       ++attempt_, handle_, milliseconds(300),
       [&](Duration) { return MakeQueryCall(request); },
-      [&](CallResult) { called = true; });
+      [&](const CallResult&) { called = true; });
   while (upstream_.counts().queries == sent) io_.run_one();
   pool_.Abandon(attempt_);
   while (pool_.outstanding() > 0) io_.run_one();
--- a/testing/fake_http.cc
+++ b/testing/fake_http.cc
@@ -14,7 +14,7 @@
 
 FakeRequest ToFakeRequest(const http::request<http::string_body>& message) {
   FakeRequest request;
-  request.method = std::string(message.method_string());
+  request.method = message.method_string().to_string();
   const std::string target(message.target());
   const auto question = target.find('?');
   request.path = target.substr(0, question);
