Peers' settings are judged by DecideSettings, not by a second comparison

Change: the decision is asked of the one function; the comparison operator it left unused goes. Behaviour is the same. Checked: 111 tests, whole_process.platform_down_and_stale.

--- a/lacewingknot/control/peer_controller.cc
+++ b/lacewingknot/control/peer_controller.cc
@@ -207,12 +207,11 @@
                                .content_hash = view.settings_hash};
   highest_settings_revision_ =
       std::max(highest_settings_revision_, theirs.revision);
-  const bool newer = theirs.revision > own.revision ||
-                     (theirs.revision == own.revision &&
-                      theirs.content_hash > own.content_hash);
-  if (newer) {
+  const SettingsDecision decision = DecideSettings(own, theirs);
+  if (decision == SettingsDecision::kAccept ||
+      decision == SettingsDecision::kConflictReplace) {
     Fetch(from, std::string(kSettingsDocument));
-  } else if (theirs == own && view.settings_age_ms >= 0) {
+  } else if (decision == SettingsDecision::kSame && view.settings_age_ms >= 0) {
     settings_.OnConfirmed(from.sent_at -
                           std::chrono::milliseconds(view.settings_age_ms));
   }
--- a/lacewingknot/policy/settings_order.h
+++ b/lacewingknot/policy/settings_order.h
@@ -14,9 +14,6 @@
 struct SettingsVersion {
   std::uint64_t revision = 0;
   std::uint64_t content_hash = 0;
-
-  friend bool operator==(const SettingsVersion&,
-                         const SettingsVersion&) = default;
 };
 
 enum class SettingsDecision {
