--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -4,11 +4,18 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/helpers/timehelper.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <iostream>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 namespace lacewingknot {
 namespace {
@@ -25,6 +32,9 @@
     EventInfo{Event::kDaemonStopped, "daemon_stopped", Level::kInfo},
     EventInfo{Event::kPauseDetected, "pause_detected", Level::kWarning},
     EventInfo{Event::kDaemonFailed, "daemon_failed", Level::kError},
+    EventInfo{Event::kDaemonSettingsReloaded, "daemon_settings_reloaded",
+              Level::kInfo},
+    EventInfo{Event::kLogLinesDropped, "log_lines_dropped", Level::kWarning},
     EventInfo{Event::kSettingsAccepted, "settings_accepted", Level::kInfo},
     EventInfo{Event::kSettingsRefused, "settings_refused", Level::kError},
     EventInfo{Event::kSettingsStale, "settings_stale", Level::kWarning},
@@ -33,17 +43,30 @@
     EventInfo{Event::kPlatformUnavailable, "platform_unavailable",
               Level::kWarning},
     EventInfo{Event::kPlatformRecovered, "platform_recovered", Level::kInfo},
+    EventInfo{Event::kRoutesInForce, "routes_in_force", Level::kInfo},
+    EventInfo{Event::kRoutesRefused, "routes_refused", Level::kError},
+    EventInfo{Event::kDirectoryChanged, "directory_changed", Level::kInfo},
+    EventInfo{Event::kDirectoryEntryRefused, "directory_entry_refused",
+              Level::kWarning},
+    EventInfo{Event::kEvacuationChanged, "evacuation_changed", Level::kInfo},
+    EventInfo{Event::kStoreLost, "store_lost", Level::kWarning},
+    EventInfo{Event::kStoreRegained, "store_regained", Level::kInfo},
+    EventInfo{Event::kStoreHistoryGone, "store_history_gone", Level::kWarning},
     EventInfo{Event::kUpstreamPresumedCold, "upstream_presumed_cold",
               Level::kInfo},
     EventInfo{Event::kUpstreamWarm, "upstream_warm", Level::kInfo},
     EventInfo{Event::kUpstreamFellBack, "upstream_fell_back", Level::kWarning},
     EventInfo{Event::kUpstreamDraining, "upstream_draining", Level::kInfo},
+    EventInfo{Event::kUpstreamBelief, "upstream_belief", Level::kInfo},
     EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning},
     EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo},
     EventInfo{Event::kQueryRefused, "query_refused", Level::kInfo},
     EventInfo{Event::kWriteUnknown, "write_unknown", Level::kWarning},
     EventInfo{Event::kWriteNotRun, "write_not_run", Level::kInfo},
     EventInfo{Event::kLateAnswerDropped, "late_answer_dropped", Level::kInfo},
+    EventInfo{Event::kRequestEnded, "request_ended", Level::kInfo},
+    EventInfo{Event::kRequestRejected, "request_rejected", Level::kInfo},
+    EventInfo{Event::kFleetSizeChanged, "fleet_size_changed", Level::kInfo},
     EventInfo{Event::kPeerUnreachable, "peer_unreachable", Level::kWarning},
     EventInfo{Event::kPeerProtocolMismatch, "peer_protocol_mismatch",
               Level::kWarning},
@@ -93,6 +116,101 @@
   return quoted + '"';
 }
 
+struct LogLine {
+  log4cplus::LogLevel level;
+  std::string line;
+  log4cplus::helpers::Time at;
+};
+
+void WriteLine(const LogLine& line) {
+  log4cplus::Logger logger = Logger();
+  // Stamped with the time of the event, not of the writing.
+  const log4cplus::spi::InternalLoggingEvent event(
+      logger.getName(), line.level, log4cplus::tstring(),
+      log4cplus::MappedDiagnosticContextMap(), line.line, log4cplus::tstring(),
+      log4cplus::tstring(), line.at, log4cplus::tstring(), 0);
+  logger.callAppenders(event);
+}
+
+// Lines between LogEvent and the thread that writes them. Thread-safe.
+class LogQueue {
+ public:
+  static LogQueue& Instance() {
+    // Never destroyed: the writer outlives main.
+    static auto* const queue = new LogQueue;
+    return *queue;
+  }
+
+  void Start() {
+    started_ = true;
+    std::thread([this] { Run(); }).detach();
+  }
+
+  void Add(LogLine line) {
+    if (!started_) {
+      WriteLine(line);
+      std::cout.flush();
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    const bool urgent = line.level >= log4cplus::WARN_LOG_LEVEL;
+    const std::size_t room = urgent ? kMaxQueued : kMaxQueued * 3 / 4;
+    if (lines_.size() >= room) {
+      ++dropped_;
+      return;
+    }
+    lines_.push_back(std::move(line));
+  }
+
+  void Flush(std::chrono::milliseconds patience) {
+    std::unique_lock lock(mutex_);
+    flush_ = true;
+    wake_.notify_all();
+    written_.wait_for(lock, patience, [&] { return lines_.empty() && idle_; });
+  }
+
+ private:
+  // Lines that wait to be written, and so the most that are written in one
+  // interval. The last quarter is kept for warnings and errors.
+  static constexpr std::size_t kMaxQueued = 400;
+  static constexpr std::chrono::milliseconds kInterval{250};
+
+  void Run() {
+    for (;;) {
+      std::deque<LogLine> lines;
+      std::uint64_t dropped = 0;
+      {
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, kInterval, [&] { return flush_; });
+        flush_ = false;
+        idle_ = false;
+        lines.swap(lines_);
+        std::swap(dropped, dropped_);
+      }
+      for (const LogLine& line : lines) WriteLine(line);
+      if (dropped > 0) {
+        WriteLine({.level = log4cplus::WARN_LOG_LEVEL,
+                   .line = "E1010 log_lines_dropped count=" +
+                           std::to_string(dropped),
+                   .at = log4cplus::helpers::now()});
+      }
+      if (!lines.empty()) std::cout.flush();
+      const std::lock_guard lock(mutex_);
+      idle_ = true;
+      written_.notify_all();
+    }
+  }
+
+  std::atomic<bool> started_ = false;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::condition_variable written_;
+  std::deque<LogLine> lines_;     // Guarded by mutex_, like all below.
+  std::uint64_t dropped_ = 0;
+  bool flush_ = false;
+  bool idle_ = true;
+};
+
 }  // namespace
 
 std::span<const EventInfo> AllEvents() { return kEvents; }
@@ -100,8 +218,8 @@
 void ConfigureLogging(LogLevel level, std::string_view source) {
   log4cplus::Logger logger = Logger();
   logger.removeAllAppenders();
-  constexpr bool kLogToStderr = true;
-  constexpr bool kImmediateFlush = true;
+  constexpr bool kLogToStderr = false;
+  constexpr bool kImmediateFlush = false;
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(kLogToStderr, kImmediateFlush));
   const std::string pattern =
@@ -111,20 +229,30 @@
   logger.setLogLevel(ToLog4cplus(level));
 }
 
+void StartLogWriter() { LogQueue::Instance().Start(); }
+
+void FlushLog(std::chrono::milliseconds patience) {
+  LogQueue::Instance().Flush(patience);
+}
+
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
   const auto info = std::find_if(
       kEvents.begin(), kEvents.end(),
       [&](const EventInfo& known) { return known.event == event; });
   if (info == kEvents.end()) return;
-  log4cplus::Logger logger = Logger();
   const log4cplus::LogLevel level = ToLog4cplus(info->level);
-  if (!logger.isEnabledFor(level)) return;
+  if (!Logger().isEnabledFor(level)) return;
   std::string line = "E" + std::to_string(static_cast<int>(event)) + " " +
                      std::string(info->name);
   for (const EventField& field : fields) {
-    line += " " + std::string(field.name) + "=" + Quoted(field.value);
+    line += ' ';
+    line += field.name;
+    line += '=';
+    line += Quoted(field.value);
   }
-  logger.log(level, line);
+  LogQueue::Instance().Add({.level = level,
+                            .line = std::move(line),
+                            .at = log4cplus::helpers::now()});
 }
 
 }  // namespace lacewingknot
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -4,12 +4,18 @@
 // line reads `E1203 data_centre_out data_centre=regina revision=17`, so that it
 // can be searched by number and split by field. Thread-safe.
 //
+// Lines go to standard output. Once StartLogWriter has been called they pass
+// through a bounded queue to a thread of its own, so that a reader that does
+// not keep up never blocks a request; lines beyond the queue or the rate are
+// dropped, counted, and reported as kLogLinesDropped.
+//
 // Example:
 //   LogEvent(Event::kSettingsAccepted, {{"revision", 17}});
 
 #ifndef LACEWINGKNOT_BASE_EVENT_LOG_H_
 #define LACEWINGKNOT_BASE_EVENT_LOG_H_
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <span>
@@ -27,6 +33,8 @@
   kDaemonStopped = 1006,
   kPauseDetected = 1007,
   kDaemonFailed = 1008,
+  kDaemonSettingsReloaded = 1009,
+  kLogLinesDropped = 1010,
   kSettingsAccepted = 1101,
   kSettingsRefused = 1102,
   kSettingsStale = 1103,
@@ -34,19 +42,31 @@
   kVmListAccepted = 1105,
   kPlatformUnavailable = 1106,
   kPlatformRecovered = 1107,
+  kRoutesInForce = 1108,
+  kRoutesRefused = 1109,
+  kDirectoryChanged = 1110,
+  kDirectoryEntryRefused = 1111,
+  kEvacuationChanged = 1112,
+  kStoreLost = 1113,
+  kStoreRegained = 1114,
+  kStoreHistoryGone = 1115,
   kUpstreamPresumedCold = 1201,
   kUpstreamWarm = 1202,
   kUpstreamFellBack = 1203,
   kUpstreamDraining = 1204,
   kAnswerRejected = 1205,
+  kUpstreamBelief = 1206,
   kQueryPartial = 1301,
   kQueryRefused = 1302,
   kWriteUnknown = 1303,
   kWriteNotRun = 1304,
   kLateAnswerDropped = 1305,
+  kRequestEnded = 1306,
+  kRequestRejected = 1307,
   kPeerUnreachable = 1401,
   kPeerProtocolMismatch = 1402,
   kPeerMessageMalformed = 1403,
+  kFleetSizeChanged = 1404,
 };
 
 struct EventInfo {
@@ -77,10 +97,17 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-// Directs log lines to standard error at `level` and above. `source` is the VM
+// Directs log lines to standard output at `level` and above. `source` is the VM
 // or program name that starts each line.
 void ConfigureLogging(LogLevel level, std::string_view source);
 
+// Writes later lines from a thread of its own. Call once, after signals have
+// been blocked.
+void StartLogWriter();
+
+// Writes what is queued, for at most `patience`.
+void FlushLog(std::chrono::milliseconds patience);
+
 void LogEvent(Event event, std::initializer_list<EventField> fields);
 
 }  // namespace lacewingknot
--- a/lacewingknot/blackboard/blackboard.h
+++ b/lacewingknot/blackboard/blackboard.h
@@ -1,9 +1,5 @@
 // What controllers publish and others read.
 //
-// Each section holds one immutable value and has one writer. A reader gets a
-// consistent value without waiting for the writer, and can tell by the
-// generation, one atomic load, that nothing has changed.
-//
 // Thread-safe.
 //
 // Example:
@@ -13,37 +9,18 @@
 #ifndef LACEWINGKNOT_BLACKBOARD_BLACKBOARD_H_
 #define LACEWINGKNOT_BLACKBOARD_BLACKBOARD_H_
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "lacewingknot/blackboard/section.h"
 #include "lacewingknot/policy/fleet_view.h"
 #include "lacewingknot/policy/warmth.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot {
 
-template <typename T>
-class Section {
- public:
-  void Publish(T value) {
-    value_.store(std::make_shared<const T>(std::move(value)));
-    generation_.fetch_add(1);
-  }
-
-  // Null until the first Publish.
-  std::shared_ptr<const T> Read() const { return value_.load(); }
-
-  // Number of values published.
-  std::uint64_t generation() const { return generation_.load(); }
-
- private:
-  std::atomic<std::shared_ptr<const T>> value_;
-  std::atomic<std::uint64_t> generation_{0};
-};
-
 // Where a value came from.
 enum class Source { kPlatform, kPeer };
 
--- a/lacewingknot/control/vm_list_controller.cc
+++ b/lacewingknot/control/vm_list_controller.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "lacewingknot/base/event_log.h"
-#include "lacewingknot/platform/documents.h"
+#include "lacewingknot/documents/documents.h"
 
 namespace lacewingknot {
 
--- a/lacewingknot/daemon/control_loop.h
+++ b/lacewingknot/daemon/control_loop.h
@@ -16,7 +16,7 @@
 #include "lacewingknot/control/settings_controller.h"
 #include "lacewingknot/control/vm_list_controller.h"
 #include "lacewingknot/peer/channel.h"
-#include "lacewingknot/platform/documents.h"
+#include "lacewingknot/documents/documents.h"
 
 namespace lacewingknot {
 
--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -4,12 +4,17 @@
 
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <span>
 #include <sstream>
 #include <thread>
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/daemon/daemon.h"
+#include "lacewingknot/edge/edge_daemon.h"
+#include "platform/store_reader.h"
+#include "platform/wire_names.h"
 
 namespace {
 
@@ -26,11 +31,20 @@
   return text.str();
 }
 
-sigset_t StopSignals() {
+sigset_t HandledSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+// Blocks the signals before any thread starts, so that only sigwait sees them.
+sigset_t BlockSignals() {
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
@@ -45,29 +59,95 @@
   }).detach();
 }
 
-int Run(const std::string& path) {
-  const auto parsed = lacewingknot::ParseDaemonSettings(ReadFile(path));
-  for (const auto& fault : parsed.faults) {
+// Waits for a signal to stop; `on_reload` runs at each SIGHUP.
+void AwaitStop(const sigset_t& signals,
+               const std::function<void()>& on_reload) {
+  for (;;) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    if (signal != SIGHUP) break;
+    on_reload();
+  }
+  NoteRepeatedSignals(signals);
+}
+
+// Nothing lasts, so there is nothing to tear down; closing nng's sockets can
+// take without end when many of them reconnect.
+[[noreturn]] void EndProcess() {
+  constexpr std::chrono::milliseconds kLogPatience{200};
+  lacewingknot::FlushLog(kLogPatience);
+  std::_Exit(kExitOk);
+}
+
+void PrintFaults(const std::string& path,
+                 std::span<const lacewingknot::SettingsFault> faults) {
+  for (const auto& fault : faults) {
     std::cerr << lacewingknot::FormatFault(path, fault) << "\n";
   }
+}
+
+int RunQueryDaemon(const std::string& path) {
+  const auto parsed = lacewingknot::ParseDaemonSettings(ReadFile(path));
+  PrintFaults(path, parsed.faults);
   if (!parsed.faults.empty()) return kExitUsage;
   lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
-  // Blocked before any thread starts, so that only sigwait sees them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = BlockSignals();
+  lacewingknot::StartLogWriter();
   lacewingknot::Daemon daemon(parsed.settings);
   if (const auto started = daemon.Start(); !started) {
     LogEvent(Event::kDaemonFailed, {{"detail", started.error().detail}});
+    lacewingknot::FlushLog(std::chrono::seconds(1));
     return kExitFailed;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
-  NoteRepeatedSignals(signals);
+  AwaitStop(signals, [&] {
+    LogEvent(Event::kDaemonSettingsReloaded,
+             {{"vm", parsed.settings.vm}, {"changed", "nothing"}});
+  });
   daemon.Drain();
-  // Nothing lasts, so there is nothing to tear down; closing nng's sockets can
-  // take without end when many of them reconnect.
-  std::_Exit(kExitOk);
+  EndProcess();
+}
+
+void ReloadEdge(const std::string& path,
+                lacewingknot::edge::EdgeDaemon& daemon) {
+  const auto parsed = lacewingknot::edge::ParseEdgeSettings(ReadFile(path));
+  for (const auto& fault : parsed.faults) {
+    LogEvent(Event::kSettingsRefused,
+             {{"detail", lacewingknot::FormatFault(path, fault)}});
+  }
+  if (parsed.faults.empty()) daemon.Reload(parsed.settings);
+}
+
+int RunEdgeDaemon(const std::string& path) {
+  const auto parsed = lacewingknot::edge::ParseEdgeSettings(ReadFile(path));
+  PrintFaults(path, parsed.faults);
+  if (!parsed.faults.empty()) return kExitUsage;
+  lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
+  const sigset_t signals = BlockSignals();
+  lacewingknot::StartLogWriter();
+  lacewingknot::edge::EdgeDaemon daemon(
+      {.settings = parsed.settings,
+       .names = &lacewingknot::platform::Headers(),
+       .readiness_path =
+           std::string(lacewingknot::platform::kReadinessPath)});
+  if (const auto started = daemon.Start(); !started) {
+    LogEvent(Event::kDaemonFailed, {{"detail", started.error().detail}});
+    lacewingknot::FlushLog(std::chrono::seconds(1));
+    return kExitFailed;
+  }
+  lacewingknot::platform::StoreReader store(
+      {.address = parsed.settings.store,
+       .on_routes =
+           [&](auto table) { daemon.OnRoutes(std::move(table)); },
+       .on_directory =
+           [&](auto directory) { daemon.OnDirectory(std::move(directory)); },
+       .on_call =
+           [&](std::string_view outcome) {
+             daemon.metrics().OnStoreCall(outcome);
+           }});
+  store.Start();
+  AwaitStop(signals, [&] { ReloadEdge(path, daemon); });
+  daemon.Drain();
+  EndProcess();
 }
 
 }  // namespace
@@ -79,8 +159,14 @@
     TCLAP::ValueArg<std::string> settings(
         "s", "settings", "Settings file of this process, in TOML.", true, "",
         "FILE", command);
+    TCLAP::SwitchArg edge(
+        "e", "edge",
+        "Serve routes of the users' platform instead of queries over the "
+        "settings tree.",
+        command);
     command.parse(argc, argv);
-    return Run(settings.getValue());
+    return edge.getValue() ? RunEdgeDaemon(settings.getValue())
+                           : RunQueryDaemon(settings.getValue());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
--- a/lacewingknot/platform/documents.cc
+++ b/lacewingknot/documents/documents.cc
@@ -1,4 +1,4 @@
-#include "lacewingknot/platform/documents.h"
+#include "lacewingknot/documents/documents.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/lacewingknot/platform/documents.h
+++ b/lacewingknot/documents/documents.h
@@ -9,8 +9,8 @@
 // A waiting call counts as one read, so the wait grows with the fleet and the
 // reads of all daemons together stay the same (WatchWait).
 
-#ifndef LACEWINGKNOT_PLATFORM_DOCUMENTS_H_
-#define LACEWINGKNOT_PLATFORM_DOCUMENTS_H_
+#ifndef LACEWINGKNOT_DOCUMENTS_DOCUMENTS_H_
+#define LACEWINGKNOT_DOCUMENTS_DOCUMENTS_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -71,4 +71,4 @@
 
 }  // namespace lacewingknot
 
-#endif  // LACEWINGKNOT_PLATFORM_DOCUMENTS_H_
+#endif  // LACEWINGKNOT_DOCUMENTS_DOCUMENTS_H_
--- /dev/null
+++ b/lacewingknot/edge/control_server.cc
@@ -0,0 +1,106 @@
+#include "lacewingknot/edge/control_server.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <utility>
+
+#include "lacewingknot/net/http_connection.h"
+
+namespace lacewingknot::edge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// One connection; kept alive by its outstanding operation.
+class ControlServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(asio::ip::tcp::socket socket, const ControlServer& server)
+      : stream_(std::move(socket)), server_(server) {}
+
+  void Read() {
+    request_ = {};
+    stream_.expires_after(kIdleTimeout);
+    http::async_read(stream_, buffer_, request_,
+                     [self = shared_from_this()](beast::error_code error,
+                                                 std::size_t) {
+                       if (!error) self->Answer();
+                     });
+  }
+
+ private:
+  static constexpr std::chrono::seconds kIdleTimeout{30};
+
+  void Answer() {
+    const ControlReply reply = server_.Reply(
+        {request_.method_string().data(), request_.method_string().size()},
+        {request_.target().data(), request_.target().size()});
+    response_ = {};
+    response_.version(request_.version());
+    response_.result(reply.status);
+    response_.set(http::field::content_type, reply.content_type);
+    response_.body() = reply.body;
+    response_.keep_alive(request_.keep_alive());
+    response_.prepare_payload();
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](beast::error_code error,
+                                                  std::size_t) {
+                        if (!error && self->response_.keep_alive()) {
+                          self->Read();
+                        }
+                      });
+  }
+
+  beast::tcp_stream stream_;
+  const ControlServer& server_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  http::response<http::string_body> response_;
+};
+
+void ControlServer::Handle(std::string path, ControlHandler handler) {
+  handlers_.insert_or_assign(std::move(path), std::move(handler));
+}
+
+Result<void> ControlServer::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return endpoint.error();
+  auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(io_);
+  beast::error_code error;
+  acceptor->open(endpoint.value().protocol(), error);
+  if (!error) acceptor->set_option(asio::socket_base::reuse_address(true));
+  if (!error) acceptor->bind(endpoint.value(), error);
+  if (!error) acceptor->listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Error{ErrorType::kConnectFailed,
+                 "cannot listen on " + address + ": " + error.message()};
+  }
+  acceptors_.push_back(std::move(acceptor));
+  Accept(*acceptors_.back());
+  return Ok();
+}
+
+void ControlServer::Accept(asio::ip::tcp::acceptor& acceptor) {
+  acceptor.async_accept([this, &acceptor](beast::error_code error,
+                                          asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) std::make_shared<Session>(std::move(socket), *this)->Read();
+    Accept(acceptor);
+  });
+}
+
+ControlReply ControlServer::Reply(std::string_view method,
+                                  std::string_view target) const {
+  if (method != "GET") return {.status = 405, .body = "only GET\n"};
+  const auto question = target.find('?');
+  const auto found = handlers_.find(target.substr(0, question));
+  if (found == handlers_.end()) {
+    return {.status = 404, .body = "no such path\n"};
+  }
+  return found->second(question == std::string_view::npos
+                           ? std::string_view()
+                           : target.substr(question + 1));
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/directory_state.cc
@@ -0,0 +1,123 @@
+#include "lacewingknot/edge/directory_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingknot::edge {
+
+void DirectoryState::Put(UpstreamRecord record, std::uint64_t revision) {
+  const auto removed = removed_.find(record.id);
+  if (removed != removed_.end() && removed->second >= revision) return;
+  Entry& entry = entries_[record.id];
+  if (entry.revision >= revision && entry.revision != 0) return;
+  entry.revision = revision;
+  entry.remove_at.reset();
+  revision_ = std::max(revision_, revision);
+  if (entry.record == record) return;
+  entry.record = std::move(record);
+  changed_ = true;
+}
+
+void DirectoryState::Remove(const std::string& id, std::uint64_t revision,
+                            TimePoint now) {
+  revision_ = std::max(revision_, revision);
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  if (entry.revision > revision) return;
+  entry.revision = revision;
+  if (entry.remove_at) return;
+  entry.remove_at = now;
+  if (source_lost_) {
+    entry.remove_at = now + kHoldAfterOutage;
+  } else if (answered_again_at_) {
+    entry.remove_at = std::max(now, *answered_again_at_ + kHoldAfterOutage);
+  }
+}
+
+void DirectoryState::KeepOnly(const std::set<std::string>& present,
+                              std::uint64_t revision, TimePoint now) {
+  for (const auto& [id, entry] : entries_) {
+    if (present.count(id) == 0 && entry.revision <= revision) {
+      Remove(id, revision, now);
+    }
+  }
+}
+
+void DirectoryState::Evacuate(const std::string& data_centre,
+                              std::uint64_t revision) {
+  std::uint64_t& known = evacuation_revisions_[data_centre];
+  if (revision < known) return;
+  known = revision;
+  changed_ = evacuated_.insert(data_centre).second || changed_;
+}
+
+void DirectoryState::EndEvacuation(const std::string& data_centre,
+                                   std::uint64_t revision) {
+  std::uint64_t& known = evacuation_revisions_[data_centre];
+  if (revision < known) return;
+  known = revision;
+  changed_ = evacuated_.erase(data_centre) > 0 || changed_;
+}
+
+void DirectoryState::KeepOnlyEvacuated(
+    const std::set<std::string>& data_centres) {
+  changed_ = std::erase_if(evacuated_,
+                           [&](const std::string& name) {
+                             return data_centres.count(name) == 0;
+                           }) > 0 ||
+             changed_;
+}
+
+void DirectoryState::OnSourceLost(TimePoint /*now*/) { source_lost_ = true; }
+
+void DirectoryState::OnSourceAnswered(std::uint64_t confirmed, TimePoint now) {
+  if (source_lost_) answered_again_at_ = now;
+  source_lost_ = false;
+  confirmed_at_ = now;
+  revision_ = std::max(revision_, confirmed);
+}
+
+bool DirectoryState::Advance(TimePoint now) {
+  std::vector<std::string> due;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.remove_at && *entry.remove_at <= now) due.push_back(id);
+  }
+  const bool calm =
+      !answered_again_at_ || now >= *answered_again_at_ + kHoldAfterOutage;
+  const bool sudden = static_cast<double>(due.size()) >
+                      kSuddenShare * static_cast<double>(entries_.size());
+  for (const std::string& id : due) {
+    Entry& entry = entries_[id];
+    // Removed just now together with many others: wait as after an outage.
+    if (sudden && calm && *entry.remove_at == now) {
+      entry.remove_at = now + kHoldAfterOutage;
+      continue;
+    }
+    removed_[id] = entry.revision;
+    entries_.erase(id);
+    changed_ = true;
+  }
+  return std::exchange(changed_, false);
+}
+
+std::optional<TimePoint> DirectoryState::NextWake() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.remove_at && (!next || *entry.remove_at < *next)) {
+      next = entry.remove_at;
+    }
+  }
+  return next;
+}
+
+Directory DirectoryState::Snapshot() const {
+  Directory directory{.revision = revision_, .confirmed_at = confirmed_at_};
+  for (const auto& [id, entry] : entries_) {
+    directory.upstreams.emplace(id, entry.record);
+  }
+  directory.evacuated = evacuated_;
+  return directory;
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_core.cc
@@ -0,0 +1,183 @@
+#include "lacewingknot/edge/edge_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lacewingknot/base/event_log.h"
+#include "lacewingknot/net/http_connection.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+// Attempts slower than this share of recent ones are hedged.
+constexpr double kHedgeQuantile = 0.9;
+// Samples between two looks at the quantile.
+constexpr std::size_t kSamplesPerUpdate = 100;
+// Bounds of the hedge delay, as shares of the route's objective.
+constexpr double kLeastHedgeShare = 0.15;
+constexpr double kMostHedgeShare = 0.40;
+
+Duration Share(Duration duration, double share) {
+  return std::chrono::duration_cast<Duration>(duration * share);
+}
+
+}  // namespace
+
+void RouteHistory::OnAttempt(Duration latency) {
+  window_.Add(latency);
+  if (++since_update_ < kSamplesPerUpdate) return;
+  since_update_ = 0;
+  quantile_ = window_.Quantile(kHedgeQuantile).value_or(Duration::zero());
+}
+
+Duration RouteHistory::HedgeDelay(Duration target_latency) {
+  const Duration most = Share(target_latency, kMostHedgeShare);
+  if (quantile_ == Duration::zero()) return most;
+  return std::clamp(quantile_, Share(target_latency, kLeastHedgeShare), most);
+}
+
+const BoundRoute* BoundTable::Find(std::string_view host,
+                                   std::string_view path) const {
+  const RouteSpec* spec = table->Find(host, path);
+  return spec == nullptr ? nullptr : &routes[table->IndexOf(spec)];
+}
+
+EdgeCore::EdgeCore(Options options)
+    : options_(std::move(options)), timers_(*options_.io) {}
+
+ServicePtr EdgeCore::ServiceNamed(const std::string& name) {
+  ServicePtr& service = services_[name];
+  if (service) return service;
+  service = std::make_shared<Service>(Service::Options{
+      .name = name, .extra_load = {.fraction = 0, .burst = 1}});
+  ApplyShares(*service);
+  return service;
+}
+
+void EdgeCore::ApplyShares(Service& service) {
+  const auto fleet = static_cast<double>(fleet_size_);
+  service.set_extra_load(
+      {.fraction = options_.extra_ratio * kRatioUsed,
+       // Half of the fixed part, so that daemons which restart or count the
+       // fleet differently keep the sum below the whole.
+       .burst = std::max(1.0, options_.extra_attempts / 2 / fleet)});
+  service.set_cold_share(service.limits().cold_requests_per_second / fleet);
+  const auto quota = std::max<std::int64_t>(
+      1, service.limits().max_connections /
+             static_cast<std::int64_t>(fleet_size_));
+  for (const UpstreamPtr& upstream : service.upstreams()) {
+    upstream->set_connection_quota(quota);
+  }
+}
+
+void EdgeCore::ApplyRouting(std::shared_ptr<const RoutingTable> table) {
+  auto bound = std::make_shared<BoundTable>();
+  bound->table = table;
+  bound->routes.reserve(table->routes().size());
+  for (const RouteSpec& spec : table->routes()) {
+    BoundRoute route{.spec = &spec};
+    for (const std::string& shard : spec.shards) {
+      route.services.push_back(ServiceNamed(shard));
+    }
+    std::vector<double> weights;
+    for (const RouteTarget& target : spec.targets) {
+      route.services.push_back(ServiceNamed(target.service));
+      weights.push_back(target.weight);
+    }
+    const double phase = static_cast<double>(
+                             std::hash<std::string>()(options_.data_centre) %
+                             1'000) /
+                         1'000;
+    route.turns = std::make_shared<WeightedTurns>(weights, phase);
+    auto& history = histories_[spec.name];
+    if (!history) history = std::make_shared<RouteHistory>();
+    route.history = history;
+    bound->routes.push_back(std::move(route));
+  }
+  routes_ = std::move(bound);
+  for (const auto& [name, service] : services_) {
+    service->set_limits(table->LimitsOf(name));
+    ApplyShares(*service);
+  }
+  options_.metrics->set_config_version(table->version());
+}
+
+void EdgeCore::set_fleet_size(std::size_t size) {
+  fleet_size_ = std::max<std::size_t>(size, 1);
+  options_.metrics->set_peers(fleet_size_);
+  for (const auto& [name, service] : services_) ApplyShares(*service);
+}
+
+void EdgeCore::AddUpstream(const UpstreamRecord& record) {
+  const auto endpoint = ParseEndpoint(record.address);
+  if (!endpoint) {
+    LogEvent(Event::kDirectoryEntryRefused,
+             {{"upstream", record.id}, {"reason", endpoint.error().detail}});
+    return;
+  }
+  EdgeMetrics* metrics = options_.metrics;
+  auto upstream = std::make_shared<Upstream>(Upstream::Options{
+      .io = options_.io,
+      .timers = &timers_,
+      .names = options_.names,
+      .record = record,
+      .endpoint = endpoint.value(),
+      .local = record.data_centre == options_.data_centre,
+      .on_belief =
+          [metrics](const UpstreamRecord& about, std::string_view belief,
+                    std::string_view cause) {
+            metrics->OnUpstreamBelief(belief);
+            LogEvent(Event::kUpstreamBelief, {{"upstream", about.id},
+                                              {"service", about.service},
+                                              {"belief", belief},
+                                              {"cause", cause}});
+          },
+      .on_connection_opened = [metrics] { metrics->OnConnectionOpened(); }});
+  upstreams_[record.id] = upstream;
+  const ServicePtr service = ServiceNamed(record.service);
+  service->Add(std::move(upstream));
+  ApplyShares(*service);
+}
+
+void EdgeCore::RemoveUpstream(const std::string& id) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  const UpstreamPtr upstream = found->second;
+  upstreams_.erase(found);
+  ServiceNamed(upstream->record().service)->Remove(upstream);
+  upstream->Retire();
+}
+
+void EdgeCore::ApplyDirectory(std::shared_ptr<const Directory> directory) {
+  std::vector<std::string> gone;
+  for (const auto& [id, upstream] : upstreams_) {
+    const auto found = directory->upstreams.find(id);
+    const UpstreamRecord& old = upstream->record();
+    if (found == directory->upstreams.end() ||
+        found->second.incarnation != old.incarnation ||
+        found->second.address != old.address ||
+        found->second.service != old.service) {
+      gone.push_back(id);
+    } else {
+      upstream->UpdateRecord(found->second);
+    }
+  }
+  for (const std::string& id : gone) RemoveUpstream(id);
+  for (const auto& [id, record] : directory->upstreams) {
+    if (upstreams_.find(id) == upstreams_.end()) AddUpstream(record);
+  }
+  directory_ = std::move(directory);
+  options_.metrics->set_upstreams(upstreams_.size());
+  UpdateUsable();
+}
+
+void EdgeCore::UpdateUsable() {
+  for (const auto& [id, upstream] : upstreams_) {
+    const UpstreamRecord& record = upstream->record();
+    const bool usable = !record.draining &&
+                        directory_->evacuated.count(record.data_centre) == 0;
+    if (usable != upstream->usable()) upstream->set_usable(usable);
+  }
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_core.h
@@ -0,0 +1,115 @@
+// The routes and upstreams in force, as requests use them.
+//
+// Control publishes routing tables and directories; the core binds their names
+// to services and upstreams. A request holds the binding under which it began.
+//
+// Not thread-safe: runs on the traffic thread.
+
+#ifndef LACEWINGKNOT_EDGE_EDGE_CORE_H_
+#define LACEWINGKNOT_EDGE_EDGE_CORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lacewingknot/edge/edge_metrics.h"
+#include "lacewingknot/edge/header_names.h"
+#include "lacewingknot/edge/routing_table.h"
+#include "lacewingknot/edge/service.h"
+#include "lacewingknot/edge/timer_queue.h"
+#include "lacewingknot/edge/upstream_directory.h"
+#include "lacewingknot/policy/latency_window.h"
+#include "lacewingknot/policy/weighted_turns.h"
+
+namespace lacewingknot::edge {
+
+// What was learned of a route; outlives versions of the configuration.
+class RouteHistory {
+ public:
+  // Adds the latency of an attempt that was answered.
+  void OnAttempt(Duration latency);
+
+  // Time after which a first attempt is slow enough for a hedge, between
+  // bounds that follow from the route's objective.
+  Duration HedgeDelay(Duration target_latency);
+
+ private:
+  LatencyWindow window_;
+  std::size_t since_update_ = 0;
+  Duration quantile_{};  // Zero until enough samples came.
+};
+
+// A route with its names resolved.
+struct BoundRoute {
+  const RouteSpec* spec = nullptr;
+  std::vector<ServicePtr> services;  // Of `targets`, or of `shards`.
+  std::shared_ptr<WeightedTurns> turns;  // Among `targets`.
+  std::shared_ptr<RouteHistory> history;
+};
+
+// One version of the routes. Keeps what it points into alive.
+struct BoundTable {
+  std::shared_ptr<const RoutingTable> table;
+  std::vector<BoundRoute> routes;  // In the table's order.
+
+  const BoundRoute* Find(std::string_view host, std::string_view path) const;
+};
+
+class EdgeCore {
+ public:
+  struct Options {
+    boost::asio::io_context* io = nullptr;
+    const HeaderNames* names = nullptr;
+    EdgeMetrics* metrics = nullptr;
+    std::string data_centre;
+    // Extra attempts of the whole fleet at one service: `extra_ratio` of its
+    // requests and `extra_attempts` in a window.
+    double extra_ratio = 0;
+    double extra_attempts = 0;
+  };
+
+  explicit EdgeCore(Options options);
+
+  void ApplyRouting(std::shared_ptr<const RoutingTable> table);
+  void ApplyDirectory(std::shared_ptr<const Directory> directory);
+  // Daemons believed to be alive; limits of the fleet are divided by it.
+  void set_fleet_size(std::size_t size);
+
+  // Null until the first configuration.
+  std::shared_ptr<const BoundTable> routes() const { return routes_; }
+  const Directory* directory() const { return directory_.get(); }
+
+  boost::asio::io_context& io() { return *options_.io; }
+  TimerQueue& timers() { return timers_; }
+  const HeaderNames& names() const { return *options_.names; }
+  EdgeMetrics& metrics() { return *options_.metrics; }
+
+ private:
+  // Part of the fleet's extra attempts that is spent on the ratio; the rest
+  // covers daemons that disagree about the fleet.
+  static constexpr double kRatioUsed = 0.85;
+  // Daemons assumed until peers are known.
+  static constexpr std::size_t kAssumedFleet = 9;
+
+  ServicePtr ServiceNamed(const std::string& name);
+  void AddUpstream(const UpstreamRecord& record);
+  void RemoveUpstream(const std::string& id);
+  void UpdateUsable();
+  void ApplyShares(Service& service);
+
+  Options options_;
+  TimerQueue timers_;
+  std::shared_ptr<const BoundTable> routes_;
+  std::shared_ptr<const Directory> directory_;
+  std::map<std::string, ServicePtr, std::less<>> services_;
+  std::map<std::string, UpstreamPtr, std::less<>> upstreams_;
+  std::map<std::string, std::shared_ptr<RouteHistory>, std::less<>> histories_;
+  std::size_t fleet_size_ = kAssumedFleet;
+};
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_EDGE_CORE_H_
--- /dev/null
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -0,0 +1,143 @@
+#include "lacewingknot/edge/edge_daemon.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "lacewingknot/base/event_log.h"
+
+namespace lacewingknot::edge {
+
+namespace asio = boost::asio;
+
+EdgeDaemon::EdgeDaemon(Options options)
+    : options_(std::move(options)),
+      core_({.io = &traffic_io_,
+             .names = options_.names,
+             .metrics = &metrics_,
+             .data_centre = options_.settings.data_centre,
+             .extra_ratio = options_.settings.extra_ratio,
+             .extra_attempts = options_.settings.extra_attempts}),
+      server_({.core = &core_,
+               .listen = options_.settings.listen,
+               .stop_grace = options_.settings.stop_grace}),
+      control_(control_io_) {}
+
+Result<void> EdgeDaemon::Start() {
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kUnavailable = 503;
+  control_.Handle(options_.readiness_path, [this](std::string_view) {
+    const bool ready = IsReady();
+    return ControlReply{.status = ready ? kOk : kUnavailable,
+                        .body = ready ? "ready\n" : "not ready\n"};
+  });
+  control_.Handle("/metrics", [this](std::string_view) {
+    return ControlReply{.body = metrics_.Render()};
+  });
+  control_.Handle("/status", [this](std::string_view) {
+    return ControlReply{.content_type = "application/json", .body = Status()};
+  });
+  const EdgeSettings& settings = options_.settings;
+  for (const std::string& address :
+       {settings.readiness_listen, settings.control_listen,
+        settings.metrics_listen}) {
+    if (address.empty()) continue;
+    if (const auto listening = control_.Listen(address); !listening) {
+      return listening.error();
+    }
+  }
+  if (const auto listening = server_.Listen(); !listening) {
+    return listening.error();
+  }
+  for (asio::io_context* io : {&traffic_io_, &control_io_}) {
+    std::thread([io] {
+      const auto work = asio::make_work_guard(*io);
+      io->run();
+    }).detach();
+  }
+  LogEvent(Event::kDaemonStarted, {{"vm", settings.vm},
+                                   {"data_centre", settings.data_centre},
+                                   {"listen", settings.listen},
+                                   {"store", settings.store}});
+  return Ok();
+}
+
+void EdgeDaemon::Post(std::function<void()> run) {
+  asio::post(traffic_io_, std::move(run));
+}
+
+void EdgeDaemon::OnRoutes(std::shared_ptr<const RoutingTable> table) {
+  routes_.Publish(table);
+  Post([this, table = std::move(table)]() mutable {
+    core_.ApplyRouting(std::move(table));
+  });
+  NoteReadiness();
+}
+
+void EdgeDaemon::OnDirectory(std::shared_ptr<const Directory> directory) {
+  directory_.Publish(directory);
+  Post([this, directory = std::move(directory)]() mutable {
+    core_.ApplyDirectory(std::move(directory));
+  });
+  NoteReadiness();
+}
+
+bool EdgeDaemon::IsReady() const {
+  return !draining_ && routes_.generation() > 0 &&
+         directory_.generation() > 0;
+}
+
+void EdgeDaemon::NoteReadiness() {
+  const bool ready = IsReady();
+  metrics_.set_ready(ready);
+  if (was_ready_.exchange(ready) == ready) return;
+  LogEvent(ready ? Event::kDaemonReady : Event::kDaemonNotReady,
+           {{"vm", options_.settings.vm},
+            {"reason", ready ? "routes and upstreams are known" : "stopping"}});
+}
+
+std::string EdgeDaemon::Status() const {
+  nlohmann::json status{{"vm", options_.settings.vm},
+                        {"data_centre", options_.settings.data_centre},
+                        {"ready", IsReady()},
+                        {"draining", draining_.load()}};
+  if (const auto routes = routes_.Read()) {
+    status["config_version"] = (*routes)->version();
+    status["config_revision"] = (*routes)->revision();
+    status["routes"] = (*routes)->routes().size();
+  }
+  if (const auto directory = directory_.Read()) {
+    status["upstreams"] = (*directory)->upstreams.size();
+    status["upstreams_revision"] = (*directory)->revision;
+    status["upstreams_age_ms"] =
+        ToMillis(BootClock::now() - (*directory)->confirmed_at);
+    status["evacuated"] = (*directory)->evacuated;
+  }
+  return status.dump() + "\n";
+}
+
+void EdgeDaemon::Reload(const EdgeSettings& settings) {
+  ConfigureLogging(settings.log_level, settings.vm);
+  LogEvent(Event::kDaemonSettingsReloaded, {{"vm", settings.vm}});
+}
+
+void EdgeDaemon::Drain() {
+  draining_ = true;
+  LogEvent(Event::kDrainStarted,
+           {{"grace_ms", ToMillis(options_.settings.stop_grace)}});
+  NoteReadiness();
+  Post([this] {
+    server_.Drain([this] {
+      const std::lock_guard lock(mutex_);
+      drained_ = true;
+      drained_cv_.notify_all();
+    });
+  });
+  std::unique_lock lock(mutex_);
+  drained_cv_.wait(lock, [this] { return drained_; });
+  LogEvent(Event::kDaemonStopped, {{"vm", options_.settings.vm}});
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_daemon.h
@@ -0,0 +1,74 @@
+// The edge role of the daemon: clients in front, many upstreams behind.
+//
+// Threads: traffic runs requests; control answers the balancer, operators and
+// other daemons; whoever reads the configuration store has a thread of its own
+// and publishes through OnRoutes and OnDirectory, which may be called from any
+// thread.
+
+#ifndef LACEWINGKNOT_EDGE_EDGE_DAEMON_H_
+#define LACEWINGKNOT_EDGE_EDGE_DAEMON_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "lacewingknot/base/error.h"
+#include "lacewingknot/blackboard/section.h"
+#include "lacewingknot/edge/control_server.h"
+#include "lacewingknot/edge/edge_core.h"
+#include "lacewingknot/edge/edge_server.h"
+#include "lacewingknot/edge/edge_settings.h"
+
+namespace lacewingknot::edge {
+
+class EdgeDaemon {
+ public:
+  struct Options {
+    EdgeSettings settings;
+    const HeaderNames* names = nullptr;
+    std::string readiness_path;
+  };
+
+  explicit EdgeDaemon(Options options);
+
+  // Binds the listeners and starts the threads.
+  Result<void> Start();
+
+  void OnRoutes(std::shared_ptr<const RoutingTable> table);
+  void OnDirectory(std::shared_ptr<const Directory> directory);
+  EdgeMetrics& metrics() { return metrics_; }
+
+  // Takes what may change in a running process.
+  void Reload(const EdgeSettings& settings);
+
+  // Stops gracefully; returns once the last answer has been given.
+  void Drain();
+
+ private:
+  bool IsReady() const;
+  void NoteReadiness();
+  std::string Status() const;
+  void Post(std::function<void()> run);
+
+  Options options_;
+  EdgeMetrics metrics_;
+  boost::asio::io_context traffic_io_{1};
+  boost::asio::io_context control_io_{1};
+  EdgeCore core_;
+  EdgeServer server_;
+  ControlServer control_;
+  Section<std::shared_ptr<const RoutingTable>> routes_;
+  Section<std::shared_ptr<const Directory>> directory_;
+  std::atomic<bool> draining_ = false;
+  std::atomic<bool> was_ready_ = false;
+  std::mutex mutex_;
+  std::condition_variable drained_cv_;
+  bool drained_ = false;  // Guarded by mutex_.
+};
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_EDGE_DAEMON_H_
--- /dev/null
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -0,0 +1,146 @@
+#include "lacewingknot/edge/edge_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace lacewingknot::edge {
+namespace {
+
+// From a fast shard to the longest deadline of a client, in seconds.
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{
+      0.002, 0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.08, 0.1,
+      0.15,  0.2,   0.3,  0.45, 0.6,  1,     1.5,  3,    6};
+  return buckets;
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+EdgeMetrics::EdgeMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(prometheus::BuildCounter()
+                    .Name("lacewingknot_edge_requests_total")
+                    .Help("Client requests by route and outcome.")
+                    .Register(*registry_)),
+      request_seconds_(prometheus::BuildHistogram()
+                           .Name("lacewingknot_edge_request_seconds")
+                           .Help("From reading a request to its answer.")
+                           .Register(*registry_)),
+      hedges_denied_(prometheus::BuildCounter()
+                         .Name("lacewingknot_edge_hedges_denied_total")
+                         .Help("Extra attempts that were not sent, by reason.")
+                         .Register(*registry_)),
+      beliefs_(prometheus::BuildCounter()
+                   .Name("lacewingknot_edge_upstream_beliefs_total")
+                   .Help("Changes of belief about an upstream.")
+                   .Register(*registry_)),
+      store_calls_(prometheus::BuildCounter()
+                       .Name("lacewingknot_edge_store_calls_total")
+                       .Help("Calls to the configuration store by outcome.")
+                       .Register(*registry_)),
+      connections_(prometheus::BuildCounter()
+                       .Name("lacewingknot_edge_connections_opened_total")
+                       .Help("Connections opened to upstreams.")
+                       .Register(*registry_)
+                       .Add({})),
+      config_version_(prometheus::BuildGauge()
+                          .Name("lacewingknot_edge_config_version")
+                          .Help("Version of the routes in force.")
+                          .Register(*registry_)
+                          .Add({})),
+      upstreams_(prometheus::BuildGauge()
+                     .Name("lacewingknot_edge_upstreams")
+                     .Help("Upstreams that are known.")
+                     .Register(*registry_)
+                     .Add({})),
+      ready_(prometheus::BuildGauge()
+                 .Name("lacewingknot_edge_ready")
+                 .Help("1 while the daemon reports itself ready.")
+                 .Register(*registry_)
+                 .Add({})),
+      peers_(prometheus::BuildGauge()
+                 .Name("lacewingknot_edge_fleet_size")
+                 .Help("Daemons believed to be alive, this one included.")
+                 .Register(*registry_)
+                 .Add({})) {
+  auto& attempts = prometheus::BuildCounter()
+                       .Name("lacewingknot_edge_attempts_total")
+                       .Help("Attempts at upstreams by kind and end.")
+                       .Register(*registry_);
+  auto& seconds = prometheus::BuildHistogram()
+                      .Name("lacewingknot_edge_attempt_seconds")
+                      .Help("From placing an attempt to its end.")
+                      .Register(*registry_);
+  for (std::size_t kind = 0; kind < kAttemptKinds; ++kind) {
+    const std::string kind_name(
+        AttemptKindName(static_cast<AttemptKind>(kind)));
+    attempt_seconds_[kind] =
+        &seconds.Add({{"kind", kind_name}}, LatencyBuckets());
+    for (std::size_t end = 0; end < kAttemptEnds; ++end) {
+      const std::string end_name(AttemptEndName(static_cast<AttemptEnd>(end)));
+      attempts_[kind][end] =
+          &attempts.Add({{"kind", kind_name}, {"end", end_name}});
+    }
+  }
+}
+
+std::string EdgeMetrics::RouteLabel(std::string_view route) {
+  const std::lock_guard lock(mutex_);
+  if (routes_.find(route) != routes_.end()) return std::string(route);
+  if (routes_.size() >= kMaxRouteLabels) return "other";
+  routes_.emplace(route, 0);
+  return std::string(route);
+}
+
+void EdgeMetrics::OnRequest(std::string_view route, std::string_view outcome,
+                            Duration latency) {
+  const std::string label = RouteLabel(route);
+  requests_.Add({{"route", label}, {"outcome", std::string(outcome)}})
+      .Increment();
+  request_seconds_.Add({{"route", label}}, LatencyBuckets())
+      .Observe(Seconds(latency));
+}
+
+void EdgeMetrics::OnAttempt(AttemptKind kind, AttemptEnd end,
+                            Duration latency) {
+  const auto kind_index = static_cast<std::size_t>(kind);
+  attempts_[kind_index][static_cast<std::size_t>(end)]->Increment();
+  attempt_seconds_[kind_index]->Observe(Seconds(latency));
+}
+
+void EdgeMetrics::OnHedgeDenied(std::string_view reason) {
+  hedges_denied_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void EdgeMetrics::OnUpstreamBelief(std::string_view belief) {
+  beliefs_.Add({{"belief", std::string(belief)}}).Increment();
+}
+
+void EdgeMetrics::OnConnectionOpened() { connections_.Increment(); }
+
+void EdgeMetrics::OnStoreCall(std::string_view outcome) {
+  store_calls_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void EdgeMetrics::set_config_version(std::uint64_t version) {
+  config_version_.Set(static_cast<double>(version));
+}
+
+void EdgeMetrics::set_upstreams(std::size_t known) {
+  upstreams_.Set(static_cast<double>(known));
+}
+
+void EdgeMetrics::set_ready(bool ready) { ready_.Set(ready ? 1 : 0); }
+
+void EdgeMetrics::set_peers(std::size_t peers) {
+  peers_.Set(static_cast<double>(peers));
+}
+
+std::string EdgeMetrics::Render() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_metrics.h
@@ -0,0 +1,73 @@
+// Counters and latency histograms of the edge, for Prometheus.
+//
+// Requests are labelled by route. The number of routes that get a label of
+// their own is bounded; the rest share the label "other". Thread-safe.
+
+#ifndef LACEWINGKNOT_EDGE_EDGE_METRICS_H_
+#define LACEWINGKNOT_EDGE_EDGE_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "lacewingknot/base/clock.h"
+#include "lacewingknot/edge/attempt.h"
+
+namespace lacewingknot::edge {
+
+class EdgeMetrics {
+ public:
+  EdgeMetrics();
+
+  // `outcome`: complete, partial, refused, failed or abandoned.
+  void OnRequest(std::string_view route, std::string_view outcome,
+                 Duration latency);
+  void OnAttempt(AttemptKind kind, AttemptEnd end, Duration latency);
+  void OnHedgeDenied(std::string_view reason);
+  void OnUpstreamBelief(std::string_view belief);
+  void OnConnectionOpened();
+  void OnStoreCall(std::string_view outcome);
+  void set_config_version(std::uint64_t version);
+  void set_upstreams(std::size_t known);
+  void set_ready(bool ready);
+  void set_peers(std::size_t peers);
+
+  // All metrics in the Prometheus text format.
+  std::string Render() const;
+
+ private:
+  // Routes with a label of their own.
+  static constexpr std::size_t kMaxRouteLabels = 64;
+
+  std::string RouteLabel(std::string_view route);
+
+  std::mutex mutex_;
+  std::map<std::string, int, std::less<>> routes_;  // Guarded by mutex_.
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Histogram>& request_seconds_;
+  // Looked up once, as every attempt counts here; by kind, then by end.
+  std::array<std::array<prometheus::Counter*, kAttemptEnds>, kAttemptKinds>
+      attempts_{};
+  std::array<prometheus::Histogram*, kAttemptKinds> attempt_seconds_{};
+  prometheus::Family<prometheus::Counter>& hedges_denied_;
+  prometheus::Family<prometheus::Counter>& beliefs_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Counter& connections_;
+  prometheus::Gauge& config_version_;
+  prometheus::Gauge& upstreams_;
+  prometheus::Gauge& ready_;
+  prometheus::Gauge& peers_;
+};
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_EDGE_METRICS_H_
--- /dev/null
+++ b/lacewingknot/edge/edge_server.cc
@@ -0,0 +1,83 @@
+#include "lacewingknot/edge/edge_server.h"
+
+#include <utility>
+#include <vector>
+
+#include "lacewingknot/net/http_connection.h"
+
+namespace lacewingknot::edge {
+
+namespace asio = boost::asio;
+
+EdgeServer::EdgeServer(Options options)
+    : options_(std::move(options)), acceptor_(options_.core->io()) {}
+
+Result<void> EdgeServer::Listen() {
+  const auto endpoint = ParseEndpoint(options_.listen);
+  if (!endpoint) return endpoint.error();
+  boost::system::error_code error;
+  acceptor_.open(endpoint.value().protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
+  if (!error) acceptor_.bind(endpoint.value(), error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Error{ErrorType::kConnectFailed,
+                 "cannot listen on " + options_.listen + ": " +
+                     error.message()};
+  }
+  Accept();
+  return Ok();
+}
+
+void EdgeServer::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      options_.core->timers().At(BootClock::now() + kAcceptRetry,
+                                 [this] { Accept(); });
+      return;
+    }
+    auto connection = std::make_shared<ClientConnection>(
+        std::move(socket),
+        ClientConnection::Options{
+            .core = options_.core,
+            .is_draining = [this] { return draining_; },
+            .on_closed = [this](ClientConnection* closed) {
+              connections_.erase(closed);
+            }});
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void EdgeServer::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drain_started_ = BootClock::now();
+  drained_ = std::move(done);
+  DrainStep();
+}
+
+void EdgeServer::DrainStep() {
+  const Duration passed = BootClock::now() - drain_started_;
+  if (passed >= kBalancerNotice) {
+    boost::system::error_code ignored;  // Closing twice does nothing.
+    acceptor_.close(ignored);
+    std::vector<std::shared_ptr<ClientConnection>> open;
+    for (const auto& [key, connection] : connections_) {
+      open.push_back(connection);
+    }
+    for (const auto& connection : open) connection->CloseIfIdle();
+    if (connections_.empty() ||
+        passed >= options_.stop_grace - kExitMargin) {
+      std::exchange(drained_, nullptr)();
+      return;
+    }
+  }
+  options_.core->timers().At(BootClock::now() + kDrainStep,
+                             [this] { DrainStep(); });
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_settings.cc
@@ -0,0 +1,160 @@
+#include "lacewingknot/edge/edge_settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include "lacewingknot/net/http_connection.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLogLevels{{
+    {"debug", LogLevel::kDebug},
+    {"info", LogLevel::kInfo},
+    {"warning", LogLevel::kWarning},
+    {"error", LogLevel::kError},
+}};
+
+constexpr std::array<std::string_view, 11> kKnownKeys{
+    "vm",   "data_centre", "listen",    "readiness_listen", "control_listen",
+    "peers", "store",      "log_level", "metrics_listen",   "extra_load",
+    "stop"};
+
+class Reader {
+ public:
+  explicit Reader(ParsedEdgeSettings& parsed) : parsed_(parsed) {}
+
+  void Fault(const toml::node& node, std::string_view key, std::string problem,
+             std::string accepted) {
+    parsed_.faults.push_back({.line = node.source().begin.line,
+                              .key = std::string(key),
+                              .problem = std::move(problem),
+                              .accepted = std::move(accepted)});
+  }
+
+  void Text(const toml::table& root, std::string_view key, std::string& value) {
+    const toml::node* node = root.get(key);
+    const auto text = node ? node->value_exact<std::string>() : std::nullopt;
+    if (text && !text->empty()) {
+      value = *text;
+      return;
+    }
+    Fault(node ? *node : root, key, node ? "wrong type or empty" : "missing",
+          "text in quotes");
+  }
+
+  // Addresses other than required ones may be left out.
+  void Address(const toml::table& root, std::string_view key, bool required,
+               std::string& value) {
+    if (!required && root.get(key) == nullptr) return;
+    std::string text;
+    const std::size_t faults = parsed_.faults.size();
+    Text(root, key, text);
+    if (parsed_.faults.size() != faults) return;
+    if (!ParseEndpoint(text)) {
+      Fault(*root.get(key), key, "not an address", "\"IP:PORT\"");
+      return;
+    }
+    value = text;
+  }
+
+  void Number(const toml::table& root, std::string_view table_name,
+              std::string_view key, double min, double max, double& value) {
+    const toml::table* table = root[table_name].as_table();
+    const toml::node* node = table ? table->get(key) : nullptr;
+    if (node == nullptr) return;
+    const auto number = node->value<double>();
+    if (number && *number >= min && *number <= max) {
+      value = *number;
+      return;
+    }
+    Fault(*node, std::string(table_name) + "." + std::string(key),
+          "wrong type or range",
+          "a number from " + std::to_string(min) + " to " +
+              std::to_string(max));
+  }
+
+  void Peers(const toml::table& root) {
+    const toml::node* node = root.get("peers");
+    if (node == nullptr) return;
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+      Fault(*node, "peers", "wrong type", "a list of \"IP:PORT\"");
+      return;
+    }
+    for (const toml::node& entry : *list) {
+      const auto text = entry.value_exact<std::string>();
+      if (!text || !ParseEndpoint(*text)) {
+        Fault(entry, "peers", "not an address", "a list of \"IP:PORT\"");
+        continue;
+      }
+      parsed_.settings.peers.push_back(*text);
+    }
+  }
+
+  void Level(const toml::table& root) {
+    const toml::node* node = root.get("log_level");
+    if (node == nullptr) return;
+    const auto text = node->value_exact<std::string>();
+    const auto found = std::find_if(
+        kLogLevels.begin(), kLogLevels.end(),
+        [&](const auto& level) { return text && level.first == *text; });
+    if (found == kLogLevels.end()) {
+      Fault(*node, "log_level", "not a level",
+            R"("debug", "info", "warning" or "error")");
+      return;
+    }
+    parsed_.settings.log_level = found->second;
+  }
+
+ private:
+  ParsedEdgeSettings& parsed_;
+};
+
+}  // namespace
+
+ParsedEdgeSettings ParseEdgeSettings(std::string_view text) {
+  ParsedEdgeSettings parsed;
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    parsed.faults.push_back({.line = error.source().begin.line,
+                             .key = "document",
+                             .problem = std::string(error.description()),
+                             .accepted = "a TOML document"});
+    return parsed;
+  }
+  Reader reader(parsed);
+  EdgeSettings& settings = parsed.settings;
+  reader.Text(root, "vm", settings.vm);
+  reader.Text(root, "data_centre", settings.data_centre);
+  reader.Address(root, "listen", true, settings.listen);
+  reader.Address(root, "readiness_listen", true, settings.readiness_listen);
+  reader.Address(root, "control_listen", false, settings.control_listen);
+  reader.Address(root, "metrics_listen", false, settings.metrics_listen);
+  reader.Address(root, "store", true, settings.store);
+  reader.Peers(root);
+  reader.Level(root);
+  reader.Number(root, "extra_load", "ratio", 0, 1, settings.extra_ratio);
+  reader.Number(root, "extra_load", "attempts", 0, 1e6,
+                settings.extra_attempts);
+  double grace_seconds =
+      std::chrono::duration<double>(settings.stop_grace).count();
+  reader.Number(root, "stop", "grace_seconds", 0.5, 3600, grace_seconds);
+  settings.stop_grace = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(grace_seconds));
+  for (const auto& [key, node] : root) {
+    if (std::find(kKnownKeys.begin(), kKnownKeys.end(), key.str()) ==
+        kKnownKeys.end()) {
+      parsed.ignored.emplace_back(key.str());
+    }
+  }
+  return parsed;
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/edge_settings.h
@@ -0,0 +1,59 @@
+// The settings file of an edge daemon, in TOML.
+//
+//   vm = "front-1"
+//   data_centre = "regina"
+//   listen = "10.1.0.9:8104"            # clients
+//   readiness_listen = "10.1.0.9:8108"  # the balancer
+//   control_listen = "10.1.0.9:8106"    # other daemons, lacewingknotctl
+//   metrics_listen = "10.1.0.9:9464"    # Prometheus
+//   peers = ["10.1.0.9:8106"]           # control addresses of some daemons
+//   store = "10.200.1.7:8102"           # the configuration store
+//   log_level = "info"
+//   [extra_load]                        # of the whole fleet, for each service
+//   ratio = 0.2
+//   attempts = 52
+//   [stop]
+//   grace_seconds = 6                   # until the process is killed
+//
+// Keys that are not known are ignored and logged: a newer operator's file must
+// not stop an older daemon.
+
+#ifndef LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
+#define LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lacewingknot/base/clock.h"
+#include "lacewingknot/base/event_log.h"
+#include "lacewingknot/settings/tree.h"
+
+namespace lacewingknot::edge {
+
+struct EdgeSettings {
+  std::string vm;
+  std::string data_centre;
+  std::string listen;
+  std::string readiness_listen;
+  std::string control_listen;  // Empty: no other daemon is known.
+  std::string metrics_listen;  // Empty: metrics are served on control_listen.
+  std::vector<std::string> peers;
+  std::string store;
+  LogLevel log_level = LogLevel::kInfo;
+  double extra_ratio = 0.1;
+  double extra_attempts = 10;
+  Duration stop_grace = std::chrono::seconds(6);
+};
+
+struct ParsedEdgeSettings {
+  EdgeSettings settings;
+  std::vector<SettingsFault> faults;  // The settings hold only if empty.
+  std::vector<std::string> ignored;   // Unknown keys.
+};
+
+ParsedEdgeSettings ParseEdgeSettings(std::string_view text);
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
--- /dev/null
+++ b/lacewingknot/edge/http_messages.cc
@@ -0,0 +1,216 @@
+#include "lacewingknot/edge/http_messages.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+namespace lacewingknot::edge {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::algorithm::iequals;
+using boost::beast::string_view;
+
+// Longest time that a client may state; larger values are cut to it.
+constexpr std::int64_t kMaxTimeLeftMs = 24LL * 3600 * 1000;
+
+void AppendHeader(std::string& to, string_view name, string_view value) {
+  to.append(name.data(), name.size());
+  to += ": ";
+  to.append(value.data(), value.size());
+  to += "\r\n";
+}
+
+template <typename T>
+std::optional<T> ParseNumber(string_view text) {
+  T value{};
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return value;
+}
+
+std::string Text(string_view view) { return {view.data(), view.size()}; }
+
+// Takes out of `headers` the ones that `tokens` lists.
+std::string WithoutListed(const std::string& headers,
+                          const std::string& tokens) {
+  std::string kept;
+  std::size_t begin = 0;
+  while (begin < headers.size()) {
+    const std::size_t end = headers.find("\r\n", begin) + 2;
+    const string_view line(headers.data() + begin, end - begin);
+    const string_view name = line.substr(0, line.find(':'));
+    if (!http::token_list(tokens).exists(name)) kept += Text(line);
+    begin = end;
+  }
+  return kept;
+}
+
+}  // namespace
+
+bool IsHopByHop(http::field field) {
+  switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void ClientRequestReader::on_request_impl(http::verb /*method*/,
+                                          string_view method_text,
+                                          string_view target, int version,
+                                          error_code& /*error*/) {
+  request_.method = Text(method_text);
+  request_.target = Text(target);
+  request_.version = version;
+}
+
+void ClientRequestReader::on_response_impl(int /*status*/,
+                                           string_view /*reason*/,
+                                           int /*version*/,
+                                           error_code& /*error*/) {}
+
+void ClientRequestReader::on_field_impl(field name, string_view name_text,
+                                        string_view value,
+                                        error_code& error) {
+  if (name == field::host) {
+    // A second Host makes the route ambiguous.
+    if (!request_.host.empty()) error = http::error::bad_field;
+    request_.host = Text(value);
+    return;
+  }
+  if (name == field::connection) {
+    if (!connection_tokens_.empty()) connection_tokens_ += ", ";
+    connection_tokens_ += Text(value);
+    return;
+  }
+  if (name == field::expect) {
+    request_.expects_continue = iequals(value, "100-continue");
+    return;
+  }
+  if (IsHopByHop(name)) return;
+  if (iequals(name_text, names_.deadline_ms)) {
+    if (const auto left = ParseNumber<std::int64_t>(value)) {
+      request_.time_left = std::chrono::milliseconds(
+          std::clamp<std::int64_t>(*left, 0, kMaxTimeLeftMs));
+    }
+    return;
+  }
+  if (iequals(name_text, names_.expected_upstream)) return;
+  if (iequals(name_text, names_.request_id)) request_.request_id = Text(value);
+  AppendHeader(request_.forwarded_headers, name_text, value);
+}
+
+void ClientRequestReader::on_header_impl(error_code& /*error*/) {
+  request_.keep_alive = keep_alive();
+  if (connection_tokens_.empty()) return;
+  if (iequals(connection_tokens_, "keep-alive") ||
+      iequals(connection_tokens_, "close")) {
+    return;
+  }
+  request_.forwarded_headers =
+      WithoutListed(request_.forwarded_headers, connection_tokens_);
+}
+
+void ClientRequestReader::on_body_init_impl(
+    const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/) {
+  request_.has_body = true;
+}
+
+std::size_t ClientRequestReader::on_body_impl(string_view body,
+                                              error_code& /*error*/) {
+  request_.body.append(body.data(), body.size());
+  return body.size();
+}
+
+void ClientRequestReader::on_chunk_header_impl(std::uint64_t /*size*/,
+                                               string_view /*extensions*/,
+                                               error_code& /*error*/) {}
+
+std::size_t ClientRequestReader::on_chunk_body_impl(std::uint64_t /*remain*/,
+                                                    string_view body,
+                                                    error_code& error) {
+  return on_body_impl(body, error);
+}
+
+void ClientRequestReader::on_finish_impl(error_code& /*error*/) {}
+
+void UpstreamReplyReader::on_request_impl(http::verb /*method*/,
+                                          string_view /*method_text*/,
+                                          string_view /*target*/,
+                                          int /*version*/,
+                                          error_code& /*error*/) {}
+
+void UpstreamReplyReader::on_response_impl(int status, string_view reason,
+                                           int /*version*/,
+                                           error_code& /*error*/) {
+  reply_.status = status;
+  if (keep_headers_) reply_.reason = Text(reason);
+}
+
+void UpstreamReplyReader::on_field_impl(field name, string_view name_text,
+                                        string_view value,
+                                        error_code& /*error*/) {
+  if (name == field::keep_alive) {
+    const auto at = value.find("timeout=");
+    if (at == string_view::npos) return;
+    string_view digits = value.substr(at + 8);
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    if (const auto seconds = ParseNumber<std::int64_t>(digits)) {
+      reply_.idle_timeout = std::chrono::seconds(*seconds);
+    }
+    return;
+  }
+  if (IsHopByHop(name)) return;
+  if (name == field::unknown) {
+    if (iequals(name_text, names_.request_id)) {
+      reply_.request_id = Text(value);
+    } else if (iequals(name_text, names_.signature)) {
+      reply_.signature = Text(value);
+    } else if (iequals(name_text, names_.not_run)) {
+      reply_.not_run = true;
+    }
+  }
+  if (keep_headers_) AppendHeader(reply_.forwarded_headers, name_text, value);
+}
+
+void UpstreamReplyReader::on_header_impl(error_code& /*error*/) {
+  reply_.keep_alive = keep_alive() && !need_eof();
+}
+
+void UpstreamReplyReader::on_body_init_impl(
+    const boost::optional<std::uint64_t>& length, error_code& /*error*/) {
+  if (length) reply_.body.reserve(*length);
+}
+
+std::size_t UpstreamReplyReader::on_body_impl(string_view body,
+                                              error_code& /*error*/) {
+  reply_.body.append(body.data(), body.size());
+  return body.size();
+}
+
+void UpstreamReplyReader::on_chunk_header_impl(std::uint64_t /*size*/,
+                                               string_view /*extensions*/,
+                                               error_code& /*error*/) {}
+
+std::size_t UpstreamReplyReader::on_chunk_body_impl(std::uint64_t /*remain*/,
+                                                    string_view body,
+                                                    error_code& error) {
+  return on_body_impl(body, error);
+}
+
+void UpstreamReplyReader::on_finish_impl(error_code& /*error*/) {}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/request_session.cc
@@ -0,0 +1,113 @@
+#include "lacewingknot/edge/request_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lacewingknot/base/event_log.h"
+#include "lacewingknot/edge/pass_session.h"
+#include "lacewingknot/edge/scatter_session.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+// The answer leaves this long before the deadline, for its way and our delay.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(15);
+
+std::shared_ptr<const OutboundRequest> MakeOutbound(
+    const ClientRequest& request) {
+  auto outbound = std::make_shared<OutboundRequest>();
+  std::string& head = outbound->head;
+  head.reserve(request.method.size() + request.target.size() +
+               request.host.size() + request.forwarded_headers.size() + 64);
+  head += request.method;
+  head += ' ';
+  head += request.target;
+  head += " HTTP/1.1\r\nHost: ";
+  head += request.host;
+  head += "\r\n";
+  head += request.forwarded_headers;
+  if (request.has_body) {
+    head += "Content-Length: ";
+    head += std::to_string(request.body.size());
+    head += "\r\n";
+  }
+  outbound->body = request.body;
+  outbound->request_id = request.request_id;
+  outbound->answer_has_no_body = request.method == "HEAD";
+  return outbound;
+}
+
+}  // namespace
+
+RequestSession::RequestSession(Options options)
+    : options_(std::move(options)),
+      outbound_(MakeOutbound(options_.request)) {
+  Duration left = spec().timeout;
+  if (request().time_left) left = std::min(left, *request().time_left);
+  deadline_ = started_at() + std::max(left - kAnswerMargin, left / 2);
+}
+
+void RequestSession::Cancel() {
+  if (finished_) return;
+  finished_ = true;
+  constexpr int kNoStatus = 0;
+  Log(kNoStatus, "abandoned", "client_left");
+  options_.answer = nullptr;
+  AbandonAttempts();
+}
+
+void RequestSession::Finish(ClientAnswer answer, std::string_view outcome,
+                            std::string_view cause) {
+  if (finished_) return;
+  finished_ = true;
+  const int status = answer.status;
+  auto callback = std::exchange(options_.answer, nullptr);
+  if (callback) callback(std::move(answer));
+  Log(status, outcome, cause);
+  AbandonAttempts();
+}
+
+AttemptPtr RequestSession::NewAttempt(TimePoint useful_until,
+                                      bool keep_headers) const {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->request = outbound_;
+  attempt->useful_until = useful_until;
+  attempt->priority = spec().priority;
+  attempt->keep_headers = keep_headers;
+  return attempt;
+}
+
+void RequestSession::Log(int status, std::string_view outcome,
+                         std::string_view cause) {
+  const TimePoint now = BootClock::now();
+  const Duration latency = now - started_at();
+  core().metrics().OnRequest(spec().name, outcome, latency);
+  const Directory* directory = core().directory();
+  LogEvent(Event::kRequestEnded,
+           {{"id", request().request_id},
+            {"route", spec().name},
+            {"config", options_.routes->table->version()},
+            {"upstreams_revision",
+             directory == nullptr ? std::uint64_t{0} : directory->revision},
+            {"upstreams_age_ms",
+             directory == nullptr ? std::int64_t{-1}
+                                  : ToMillis(now - directory->confirmed_at)},
+            {"status", status},
+            {"outcome", outcome},
+            {"cause", cause},
+            {"ms", ToMillis(latency)},
+            {"detail", LogDetails()}});
+}
+
+std::shared_ptr<RequestSession> StartSession(RequestSession::Options options) {
+  std::shared_ptr<RequestSession> session;
+  if (options.route->spec->is_scatter()) {
+    session = std::make_shared<ScatterSession>(std::move(options));
+  } else {
+    session = std::make_shared<PassSession>(std::move(options));
+  }
+  session->Start();
+  return session;
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/request_session.h
@@ -0,0 +1,106 @@
+// A client's request from reading it to its answer.
+//
+// A session ends exactly once: with an answer, or because the client left. It
+// keeps itself alive through the attempts and timers that refer to it.
+//
+// Not thread-safe: runs on the traffic thread.
+
+#ifndef LACEWINGKNOT_EDGE_REQUEST_SESSION_H_
+#define LACEWINGKNOT_EDGE_REQUEST_SESSION_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "lacewingknot/edge/attempt.h"
+#include "lacewingknot/edge/edge_core.h"
+
+namespace lacewingknot::edge {
+
+// What goes back to the client.
+struct ClientAnswer {
+  int status = 500;
+  std::string reason;   // Empty: the usual one of the status.
+  std::string headers;  // "Name: value\r\n" for each.
+  std::string body;
+  // When the client should try again; only for requests that have not run.
+  std::optional<Duration> retry_after;
+};
+
+// HTTP statuses that the edge gives by itself.
+inline constexpr int kStatusOk = 200;
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusRequestTimeout = 408;
+inline constexpr int kStatusBodyTooLarge = 413;
+inline constexpr int kStatusHeadersTooLarge = 431;
+inline constexpr int kStatusBadGateway = 502;
+inline constexpr int kStatusUnavailable = 503;  // Has not run, and never will.
+inline constexpr int kStatusGatewayTimeout = 504;
+
+using AnswerCallback = std::function<void(ClientAnswer)>;
+
+class RequestSession : public std::enable_shared_from_this<RequestSession> {
+ public:
+  struct Options {
+    EdgeCore* core = nullptr;
+    std::shared_ptr<const BoundTable> routes;
+    const BoundRoute* route = nullptr;
+    ClientRequest request;
+    TimePoint started_at{};  // When the request had been read.
+    // Time from the client's sending to our reading and back, which the
+    // client's latency includes.
+    Duration client_round_trip{};
+    AnswerCallback answer;
+  };
+
+  explicit RequestSession(Options options);
+  virtual ~RequestSession() = default;
+  RequestSession(const RequestSession&) = delete;
+  RequestSession& operator=(const RequestSession&) = delete;
+
+  virtual void Start() = 0;
+
+  // The client left.
+  void Cancel();
+
+ protected:
+  // Stops all work for this request.
+  virtual void AbandonAttempts() = 0;
+  // Details for the log, "key=value" pairs after a space each.
+  virtual std::string LogDetails() const = 0;
+
+  // Ends the session. `outcome` is complete, partial, refused or failed.
+  void Finish(ClientAnswer answer, std::string_view outcome,
+              std::string_view cause);
+
+  AttemptPtr NewAttempt(TimePoint useful_until, bool keep_headers) const;
+
+  EdgeCore& core() const { return *options_.core; }
+  const RouteSpec& spec() const { return *options_.route->spec; }
+  const BoundRoute& route() const { return *options_.route; }
+  const ClientRequest& request() const { return options_.request; }
+  TimePoint started_at() const { return options_.started_at; }
+  Duration client_round_trip() const { return options_.client_round_trip; }
+  // Last moment for an answer: the client's deadline or the route's timeout.
+  TimePoint deadline() const { return deadline_; }
+  bool finished() const { return finished_; }
+
+ private:
+  void Log(int status, std::string_view outcome, std::string_view cause);
+
+  Options options_;
+  std::shared_ptr<const OutboundRequest> outbound_;
+  TimePoint deadline_{};
+  bool finished_ = false;
+};
+
+// Creates the session for a route and starts it.
+std::shared_ptr<RequestSession> StartSession(RequestSession::Options options);
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_REQUEST_SESSION_H_
--- /dev/null
+++ b/lacewingknot/edge/service.h
@@ -0,0 +1,89 @@
+// A service: the upstreams that hold it, and the budget for extra attempts.
+//
+// Not thread-safe: runs on the traffic thread.
+
+#ifndef LACEWINGKNOT_EDGE_SERVICE_H_
+#define LACEWINGKNOT_EDGE_SERVICE_H_
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "lacewingknot/edge/routing_table.h"
+#include "lacewingknot/edge/upstream.h"
+#include "lacewingknot/policy/cold_gate.h"
+#include "lacewingknot/policy/extra_load.h"
+#include "lacewingknot/policy/replica_choice.h"
+
+namespace lacewingknot::edge {
+
+class Service {
+ public:
+  struct Options {
+    std::string name;
+    ExtraLoadBudget::Limits extra_load;
+  };
+
+  explicit Service(Options options)
+      : options_(std::move(options)), budget_(options_.extra_load) {}
+
+  const std::string& name() const { return options_.name; }
+
+  void set_limits(const ServiceLimits& limits) { limits_ = limits; }
+  const ServiceLimits& limits() const { return limits_; }
+
+  // This daemon's share of what a cold upstream bears, in requests a second.
+  void set_cold_share(double requests_per_second) {
+    cold_share_ = requests_per_second;
+  }
+
+  void set_extra_load(ExtraLoadBudget::Limits limits) {
+    budget_.set_limits(limits);
+  }
+
+  void Add(UpstreamPtr upstream) { upstreams_.push_back(std::move(upstream)); }
+  void Remove(const UpstreamPtr& upstream) {
+    std::erase(upstreams_, upstream);
+    cold_gates_.erase(upstream.get());
+  }
+  std::span<const UpstreamPtr> upstreams() const { return upstreams_; }
+
+  // Whether any upstream may be used at all.
+  bool HasUsable() const;
+
+  // The upstream for one more attempt, none of `tried`; null if there is none.
+  // One that is backing off is taken only if `even_backing_off`.
+  UpstreamPtr Choose(std::span<const UpstreamPtr> tried, bool even_backing_off,
+                     TimePoint now);
+
+  // Whether `upstream` is silent on work that should be done by now.
+  bool Suspects(const UpstreamPtr& upstream, TimePoint now) const;
+
+  // Counts first attempts, which earn the budget for extra ones.
+  void OnFirstAttempt() { budget_.OnFirstAttempts(1); }
+  // Takes one extra attempt from the budget; false if it is spent.
+  bool TrySpendExtra() { return budget_.TrySpend(); }
+
+  void NoteLatency(Duration latency);
+
+ private:
+  bool PassesColdGate(const UpstreamPtr& upstream, TimePoint now) const;
+
+  Options options_;
+  ServiceLimits limits_;
+  double cold_share_ = 0;
+  std::vector<UpstreamPtr> upstreams_;
+  std::map<const Upstream*, ColdGate> cold_gates_;
+  ExtraLoadBudget budget_;
+  ReplicaChoiceOptions choice_;
+  Duration typical_ = std::chrono::milliseconds(20);
+  std::size_t rotation_ = 0;
+};
+
+using ServicePtr = std::shared_ptr<Service>;
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_SERVICE_H_
--- /dev/null
+++ b/lacewingknot/edge/timer_queue.cc
@@ -0,0 +1,41 @@
+#include "lacewingknot/edge/timer_queue.h"
+
+namespace lacewingknot::edge {
+
+TimerQueue::Id TimerQueue::At(TimePoint due, std::function<void()> run) {
+  const Id id{.due = due, .number = next_number_++};
+  pending_.emplace(id, std::move(run));
+  if (due < armed_for_) Arm();
+  return id;
+}
+
+void TimerQueue::Cancel(Id& id) {
+  pending_.erase(id);
+  id = {};
+}
+
+void TimerQueue::Arm() {
+  if (pending_.empty()) {
+    armed_for_ = TimePoint::max();
+    return;
+  }
+  const TimePoint due = pending_.begin()->first.due;
+  armed_for_ = due;
+  timer_.expires_after(std::max(due - BootClock::now(), Duration::zero()));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) OnTimer();
+  });
+}
+
+void TimerQueue::OnTimer() {
+  // Timers that are added while others run wait for the next round.
+  armed_for_ = TimePoint::min();
+  const TimePoint now = BootClock::now();
+  while (!pending_.empty() && pending_.begin()->first.due <= now) {
+    auto first = pending_.extract(pending_.begin());
+    first.mapped()();
+  }
+  Arm();
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/upstream.cc
@@ -0,0 +1,292 @@
+#include "lacewingknot/edge/upstream.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lacewingknot::edge {
+namespace {
+
+// Weight of the newest sample in the smoothed values.
+constexpr double kLatencyWeight = 0.2;
+constexpr double kFailureWeight = 0.15;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Upstream::Upstream(Options options) : options_(std::move(options)) {}
+
+void Upstream::Submit(AttemptPtr attempt) {
+  const TimePoint now = BootClock::now();
+  attempt->submitted_at = now;
+  if (!usable_) {
+    attempt->Finish({.end = AttemptEnd::kNotSent, .cause = "unusable"});
+    return;
+  }
+  // Behind all that are at least as urgent.
+  const auto position = std::find_if(
+      queue_.begin(), queue_.end(), [&](const AttemptPtr& waiting) {
+        return waiting->priority > attempt->priority;
+      });
+  queue_.insert(position, std::move(attempt));
+  Dispatch();
+}
+
+void Upstream::Abandon(const AttemptPtr& attempt) {
+  if (attempt->finished || attempt->abandoned) return;
+  attempt->abandoned = true;
+  attempt->done = nullptr;
+  if (!attempt->sent) {
+    std::erase(queue_, attempt);
+    return;
+  }
+  options_.timers->At(
+      BootClock::now() + kAbandonGrace,
+      [self = shared_from_this(), attempt] {
+        for (const ConnectionPtr& connection : self->connections_) {
+          if (connection->attempt() != attempt) continue;
+          const ConnectionPtr kept = connection;
+          kept->Close("abandoned");
+          return;
+        }
+      });
+}
+
+void Upstream::set_usable(bool usable) {
+  usable_ = usable;
+  if (!usable) FailQueue("unusable");
+}
+
+void Upstream::Retire() {
+  retired_ = true;
+  set_usable(false);
+  CloseIdle("retired");
+}
+
+void Upstream::FailQueue(std::string_view cause) {
+  auto waiting = std::exchange(queue_, {});
+  for (const AttemptPtr& attempt : waiting) {
+    attempt->Finish({.end = AttemptEnd::kNotSent, .cause = cause});
+  }
+}
+
+void Upstream::CloseIdle(std::string_view cause) {
+  const auto connections = connections_;
+  for (const ConnectionPtr& connection : connections) {
+    if (connection->state() == UpstreamConnection::State::kIdle) {
+      connection->Close(cause);
+    }
+  }
+}
+
+void Upstream::RemoveClosed() {
+  std::erase_if(connections_, [](const ConnectionPtr& connection) {
+    return connection->state() == UpstreamConnection::State::kClosed;
+  });
+}
+
+std::size_t Upstream::OpenCount(UpstreamConnection::State state) const {
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [&](const ConnectionPtr& connection) {
+        return connection->state() == state;
+      }));
+}
+
+Upstream::ConnectionPtr Upstream::IdleConnection(TimePoint now) {
+  ConnectionPtr best;
+  std::vector<ConnectionPtr> expired;
+  for (const ConnectionPtr& connection : connections_) {
+    if (connection->state() != UpstreamConnection::State::kIdle) continue;
+    const Duration idle_time =
+        connection->idle_timeout()
+            ? *connection->idle_timeout() - kIdleMargin
+            : kDefaultIdleTime;
+    if (now - connection->idle_since() >= idle_time) {
+      expired.push_back(connection);
+    } else if (!best || connection->idle_since() > best->idle_since()) {
+      best = connection;  // The warmest, so that the others can run out.
+    }
+  }
+  for (const ConnectionPtr& connection : expired) {
+    connection->Close("idle_too_long");
+  }
+  return best;
+}
+
+void Upstream::Dispatch() {
+  const TimePoint now = BootClock::now();
+  while (!queue_.empty()) {
+    const ConnectionPtr connection = IdleConnection(now);
+    if (!connection) break;
+    AttemptPtr attempt = queue_.front();
+    queue_.pop_front();
+    connection->Send(std::move(attempt), now);
+  }
+  RemoveClosed();
+  std::size_t opening = OpenCount(UpstreamConnection::State::kConnecting);
+  while (opening < queue_.size() &&
+         static_cast<std::int64_t>(connections_.size()) <
+             options_.connection_quota) {
+    OpenConnection();
+    ++opening;
+  }
+}
+
+void Upstream::OpenConnection() {
+  const std::weak_ptr<Upstream> weak = weak_from_this();
+  auto connection = std::make_shared<UpstreamConnection>(
+      *options_.io,
+      UpstreamConnection::Options{
+          .endpoint = options_.endpoint,
+          .names = options_.names,
+          .upstream_id = options_.record.id,
+          .on_open =
+              [weak] {
+                if (const auto self = weak.lock()) self->Dispatch();
+              },
+          .on_exchange =
+              [weak](const AttemptPtr& attempt, AttemptResult result) {
+                if (const auto self = weak.lock()) {
+                  self->OnExchange(attempt, std::move(result));
+                } else {
+                  attempt->Finish(std::move(result));
+                }
+              },
+          .on_closed =
+              [weak](bool opened) {
+                if (const auto self = weak.lock()) {
+                  self->OnClosed(opened);
+                }
+              }});
+  connections_.push_back(connection);
+  connection->Open();
+  if (options_.on_connection_opened) options_.on_connection_opened();
+  options_.timers->At(BootClock::now() + kConnectTimeout,
+                      [self = shared_from_this(), connection] {
+                        self->OnOpenTimeout(connection);
+                      });
+}
+
+void Upstream::OnOpenTimeout(const ConnectionPtr& connection) {
+  if (connection->state() == UpstreamConnection::State::kConnecting) {
+    connection->Close("connect_timeout");
+  }
+}
+
+void Upstream::OnClosed(bool opened) {
+  RemoveClosed();
+  if (!opened) {
+    NoteFailure("connect_failed", BootClock::now());
+    if (connections_.empty()) FailQueue("connect_failed");
+  }
+  if (!queue_.empty()) Dispatch();
+}
+
+void Upstream::OnExchange(const AttemptPtr& attempt, AttemptResult result) {
+  const TimePoint now = BootClock::now();
+  NoteOutcome(*attempt, result, now);
+  if (retired_) CloseIdle("retired");
+  // The freed connection goes to those that wait before their owners learn of
+  // this answer and add more.
+  if (!queue_.empty()) Dispatch();
+  RemoveClosed();
+  attempt->Finish(std::move(result));
+}
+
+void Upstream::NoteOutcome(const Attempt& attempt, const AttemptResult& result,
+                           TimePoint now) {
+  const Duration latency = now - attempt.sent_at;
+  constexpr int kServerErrors = 500;
+  switch (result.end) {
+    case AttemptEnd::kAnswered:
+      NoteLatency(latency, now);
+      if (result.reply.status >= kServerErrors) {
+        failure_share_ += kFailureWeight * (1 - failure_share_);
+        failure_at_ = now;
+      } else {
+        NoteSuccess();
+      }
+      return;
+    case AttemptEnd::kRefused:
+      failure_share_ += kFailureWeight * (1 - failure_share_);
+      failure_at_ = now;
+      return;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kLost:
+      NoteLatency(latency, now);
+      if (result.cause == "abandoned") {
+        // Other connections to a silent upstream are likely silent too.
+        CloseIdle("silent");
+      }
+      NoteFailure(result.cause, now);
+      return;
+  }
+}
+
+void Upstream::NoteLatency(Duration latency, TimePoint now) {
+  latency_at_ = now;
+  if (latency_ == Duration::zero()) {
+    latency_ = latency;
+    return;
+  }
+  latency_ += std::chrono::duration_cast<Duration>((latency - latency_) *
+                                                   kLatencyWeight);
+}
+
+void Upstream::NoteFailure(std::string_view cause, TimePoint now) {
+  failure_share_ += kFailureWeight * (1 - failure_share_);
+  failure_at_ = now;
+  ++failures_in_row_;
+  // A single lost exchange says little; a failed connect says that nobody
+  // listens.
+  if (failures_in_row_ < 2 && cause != "connect_failed") return;
+  const int doublings = std::min(failures_in_row_ - 1, 5);
+  const Duration backoff =
+      std::min<Duration>(kFirstBackoff * (1 << doublings), kLongestBackoff);
+  const bool was_good = backoff_until_ < now;
+  backoff_until_ = now + backoff;
+  if (was_good && failures_in_row_ == 2 && options_.on_belief) {
+    options_.on_belief(options_.record, "failing", cause);
+  }
+}
+
+void Upstream::NoteSuccess() {
+  failure_share_ -= kFailureWeight * failure_share_;
+  if (failures_in_row_ >= 2 && options_.on_belief) {
+    options_.on_belief(options_.record, "working", "answered");
+  }
+  failures_in_row_ = 0;
+  backoff_until_ = {};
+}
+
+ReplicaLoad Upstream::Load(Duration typical, TimePoint now) const {
+  ReplicaLoad load;
+  load.slots = options_.record.slots;
+  load.local = options_.local;
+  load.queued = static_cast<std::int64_t>(queue_.size());
+  load.backing_off = now < backoff_until_;
+  for (const ConnectionPtr& connection : connections_) {
+    if (connection->state() != UpstreamConnection::State::kBusy) continue;
+    ++load.in_flight;
+    load.oldest_in_flight = std::max(
+        load.oldest_in_flight, now - connection->attempt()->sent_at);
+  }
+  const double kept =
+      std::exp2(-Seconds(now - latency_at_) / kForgetHalfLifeSeconds);
+  load.expected = typical;
+  if (latency_ != Duration::zero()) {
+    load.expected +=
+        std::chrono::duration_cast<Duration>((latency_ - typical) * kept);
+  }
+  const double failures =
+      failure_share_ *
+      std::exp2(-Seconds(now - failure_at_) / kForgetHalfLifeSeconds);
+  load.failure_share = failures;
+  return load;
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/upstream.h
@@ -0,0 +1,127 @@
+// One upstream as this daemon sees it: its record, its connections, the
+// attempts that wait for one, and what its answers say about its state.
+//
+// Attempts wait here, most urgent first, while every connection is busy. When
+// the upstream may no longer be used, those that wait end as kNotSent, so that
+// their owners place them elsewhere; those in flight go on.
+//
+// Not thread-safe: runs on the traffic thread.
+
+#ifndef LACEWINGKNOT_EDGE_UPSTREAM_H_
+#define LACEWINGKNOT_EDGE_UPSTREAM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "lacewingknot/edge/attempt.h"
+#include "lacewingknot/edge/timer_queue.h"
+#include "lacewingknot/edge/upstream_connection.h"
+#include "lacewingknot/edge/upstream_directory.h"
+#include "lacewingknot/policy/replica_choice.h"
+
+namespace lacewingknot::edge {
+
+class Upstream : public std::enable_shared_from_this<Upstream> {
+ public:
+  struct Options {
+    boost::asio::io_context* io = nullptr;
+    TimerQueue* timers = nullptr;
+    const HeaderNames* names = nullptr;
+    UpstreamRecord record;
+    boost::asio::ip::tcp::endpoint endpoint;
+    bool local = false;  // In this daemon's data centre.
+    // Connections that this daemon may hold.
+    std::int64_t connection_quota = 1;
+    // Called when the belief about the upstream changes, for the log.
+    std::function<void(const UpstreamRecord& record, std::string_view belief,
+                       std::string_view cause)>
+        on_belief;
+    std::function<void()> on_connection_opened;
+  };
+
+  explicit Upstream(Options options);
+
+  // Queues or sends `attempt`. Its `done` may be called before this returns.
+  void Submit(AttemptPtr attempt);
+
+  // Nobody waits for `attempt` any more: takes it out of the queue, or closes
+  // its connection if it is still at work after kAbandonGrace.
+  void Abandon(const AttemptPtr& attempt);
+
+  // Takes a new record of the same incarnation.
+  void UpdateRecord(UpstreamRecord record) { options_.record = std::move(record); }
+  void set_connection_quota(std::int64_t quota) {
+    options_.connection_quota = quota;
+  }
+  // Whether new work may go here; false empties the queue.
+  void set_usable(bool usable);
+  bool usable() const { return usable_; }
+
+  // Closes idle connections and, as they end, busy ones.
+  void Retire();
+
+  // `typical` is what a request takes on average at its service; an upstream
+  // that is not used drifts towards it.
+  ReplicaLoad Load(Duration typical, TimePoint now) const;
+
+  const UpstreamRecord& record() const { return options_.record; }
+
+ private:
+  using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+  // Time that abandoned work may go on before its connection is closed. A
+  // short rest of work costs less than a new connection.
+  static constexpr Duration kAbandonGrace = std::chrono::milliseconds(300);
+  // Time in which a connection must open.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+  // Idle time after which a connection is not used again, where the upstream
+  // does not state its own.
+  static constexpr Duration kDefaultIdleTime = std::chrono::seconds(4);
+  // Margin below the idle time that the upstream states.
+  static constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
+  // Backoff after consecutive failures, doubled up to the largest.
+  static constexpr Duration kFirstBackoff = std::chrono::milliseconds(60);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(1'000);
+  // Half-life of what is believed of an upstream that is not used.
+  static constexpr double kForgetHalfLifeSeconds = 3.0;
+
+  void Dispatch();
+  ConnectionPtr IdleConnection(TimePoint now);
+  void OpenConnection();
+  void OnOpenTimeout(const ConnectionPtr& connection);
+  void OnClosed(bool opened);
+  void OnExchange(const AttemptPtr& attempt, AttemptResult result);
+  void NoteOutcome(const Attempt& attempt, const AttemptResult& result,
+                   TimePoint now);
+  void NoteLatency(Duration latency, TimePoint now);
+  void NoteFailure(std::string_view cause, TimePoint now);
+  void NoteSuccess();
+  void CloseIdle(std::string_view cause);
+  void FailQueue(std::string_view cause);
+  void RemoveClosed();
+  std::size_t OpenCount(UpstreamConnection::State state) const;
+
+  Options options_;
+  bool usable_ = true;
+  bool retired_ = false;
+  std::vector<ConnectionPtr> connections_;
+  std::deque<AttemptPtr> queue_;
+  Duration latency_{};  // Smoothed; zero until the first answer.
+  TimePoint latency_at_{};
+  double failure_share_ = 0;  // Smoothed share of failed attempts.
+  TimePoint failure_at_{};
+  int failures_in_row_ = 0;
+  TimePoint backoff_until_{};
+};
+
+using UpstreamPtr = std::shared_ptr<Upstream>;
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_UPSTREAM_H_
