--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -179,7 +179,9 @@
     Shard& shard = shards_[i];
     if (shard.state != ShardState::kWaiting || shard.live.size() != 1) continue;
     if (!MayRetry(shard)) continue;
-    if (Place(i, AttemptKind::kHedge, now)) {
+    const bool placed = Place(i, AttemptKind::kHedge, now);
+    if (finished()) return;
+    if (placed) {
       ++hedges_;
     } else {
       again = true;
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -118,10 +118,20 @@
 }
 
 void Upstream::Dispatch() {
+  // Sending and closing call back into this upstream; such calls only ask for
+  // another round.
+  dispatch_again_ = true;
+  if (dispatching_) return;
+  dispatching_ = true;
+  while (std::exchange(dispatch_again_, false)) DispatchOnce();
+  dispatching_ = false;
+}
+
+void Upstream::DispatchOnce() {
   const TimePoint now = BootClock::now();
   while (!queue_.empty()) {
     const ConnectionPtr connection = IdleConnection(now);
-    if (!connection) break;
+    if (!connection || queue_.empty()) break;
     AttemptPtr attempt = queue_.front();
     queue_.pop_front();
     connection->Send(std::move(attempt), now);
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -92,6 +92,7 @@
   static constexpr double kForgetHalfLifeSeconds = 3.0;
 
   void Dispatch();
+  void DispatchOnce();
   ConnectionPtr IdleConnection(TimePoint now);
   void OpenConnection();
   void OnOpenTimeout(const ConnectionPtr& connection);
@@ -112,6 +113,8 @@
   bool retired_ = false;
   std::vector<ConnectionPtr> connections_;
   std::deque<AttemptPtr> queue_;
+  bool dispatching_ = false;
+  bool dispatch_again_ = false;
   Duration latency_{};  // Smoothed; zero until the first answer.
   TimePoint latency_at_{};
   double failure_share_ = 0;  // Smoothed share of failed attempts.
