Daemons gossip over UDP: fleet size, and the newest revision of the store

Shares of connection limits and of extra attempts follow the fleet's size; a daemon whose watch hangs learns from peers that it lags.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -1,10 +1,10 @@
 #include "lacewingknot/base/event_log.h"
 
 #include <log4cplus/consoleappender.h>
+#include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
@@ -189,10 +189,10 @@
       }
       for (const LogLine& line : lines) WriteLine(line);
       if (dropped > 0) {
-        WriteLine({.level = log4cplus::WARN_LOG_LEVEL,
-                   .line = "E1010 log_lines_dropped count=" +
-                           std::to_string(dropped),
-                   .at = log4cplus::helpers::now()});
+        WriteLine(
+            {.level = log4cplus::WARN_LOG_LEVEL,
+             .line = "E1010 log_lines_dropped count=" + std::to_string(dropped),
+             .at = log4cplus::helpers::now()});
       }
       if (!lines.empty()) std::cout.flush();
       const std::lock_guard lock(mutex_);
@@ -205,7 +205,7 @@
   std::mutex mutex_;
   std::condition_variable wake_;
   std::condition_variable written_;
-  std::deque<LogLine> lines_;     // Guarded by mutex_, like all below.
+  std::deque<LogLine> lines_;  // Guarded by mutex_, like all below.
   std::uint64_t dropped_ = 0;
   bool flush_ = false;
   bool idle_ = true;
--- a/lacewingknot/daemon/control_loop.h
+++ b/lacewingknot/daemon/control_loop.h
@@ -15,8 +15,8 @@
 #include "lacewingknot/control/peer_controller.h"
 #include "lacewingknot/control/settings_controller.h"
 #include "lacewingknot/control/vm_list_controller.h"
-#include "lacewingknot/peer/channel.h"
 #include "lacewingknot/documents/documents.h"
+#include "lacewingknot/peer/channel.h"
 
 namespace lacewingknot {
 
--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <span>
 #include <sstream>
 #include <thread>
@@ -124,27 +125,33 @@
   lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
   const sigset_t signals = BlockSignals();
   lacewingknot::StartLogWriter();
+  std::optional<lacewingknot::platform::StoreReader> store;
   lacewingknot::edge::EdgeDaemon daemon(
       {.settings = parsed.settings,
        .names = &lacewingknot::platform::Headers(),
-       .readiness_path =
-           std::string(lacewingknot::platform::kReadinessPath)});
+       .readiness_path = std::string(lacewingknot::platform::kReadinessPath),
+       .on_peer_revision = [&](std::uint64_t revision) {
+         store->OnPeerRevision(revision);
+       }});
+  store.emplace(lacewingknot::platform::StoreReader::Options{
+      .address = parsed.settings.store,
+      .on_routes = [&](auto table) { daemon.OnRoutes(std::move(table)); },
+      .on_directory =
+          [&](auto directory) { daemon.OnDirectory(std::move(directory)); },
+      .on_call =
+          [&](std::string_view outcome) {
+            daemon.metrics().OnStoreCall(outcome);
+          },
+      .on_revision =
+          [&](std::uint64_t revision) { daemon.OnStoreRevision(revision); },
+      .has_peers = [&] { return daemon.has_peers(); },
+      .max_staleness = parsed.settings.store_max_staleness});
   if (const auto started = daemon.Start(); !started) {
     LogEvent(Event::kDaemonFailed, {{"detail", started.error().detail}});
     lacewingknot::FlushLog(std::chrono::seconds(1));
     return kExitFailed;
   }
-  lacewingknot::platform::StoreReader store(
-      {.address = parsed.settings.store,
-       .on_routes =
-           [&](auto table) { daemon.OnRoutes(std::move(table)); },
-       .on_directory =
-           [&](auto directory) { daemon.OnDirectory(std::move(directory)); },
-       .on_call =
-           [&](std::string_view outcome) {
-             daemon.metrics().OnStoreCall(outcome);
-           }});
-  store.Start();
+  store->Start();
   AwaitStop(signals, [&] { ReloadEdge(path, daemon); });
   daemon.Drain();
   EndProcess();
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -40,8 +40,8 @@
 
 struct AttemptResult {
   AttemptEnd end = AttemptEnd::kNotSent;
-  UpstreamReply reply;         // With kAnswered and kRefused.
-  std::string_view cause = ""; // Why, for the log; a literal.
+  UpstreamReply reply;          // With kAnswered and kRefused.
+  std::string_view cause = "";  // Why, for the log; a literal.
 };
 
 // Kept alive by the connection or queue that holds it.
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -23,9 +23,9 @@
 
 std::string RetryAfterHeader(Duration after) {
   std::array<char, 48> text{};
-  const int size = std::snprintf(text.data(), text.size(),
-                                 "Retry-After: %.3f\r\n",
-                                 std::chrono::duration<double>(after).count());
+  const int size =
+      std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n",
+                    std::chrono::duration<double>(after).count());
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
@@ -93,10 +93,11 @@
 
 void ClientConnection::ArmTimer(Duration after) {
   options_.core->timers().Cancel(timer_);
-  timer_ = options_.core->timers().At(
-      BootClock::now() + after, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) self->OnTimeout();
-      });
+  timer_ = options_.core->timers().At(BootClock::now() + after,
+                                      [weak = weak_from_this()] {
+                                        if (const auto self = weak.lock())
+                                          self->OnTimeout();
+                                      });
 }
 
 void ClientConnection::OnTimeout() {
@@ -209,17 +210,16 @@
     LogEvent(Event::kRequestRejected, {{"id", request.request_id},
                                        {"status", kStatusUnavailable},
                                        {"cause", "no_configuration_yet"}});
-    OnAnswer({.status = kStatusUnavailable,
-              .retry_after = kNotReadyRetryAfter});
+    OnAnswer(
+        {.status = kStatusUnavailable, .retry_after = kNotReadyRetryAfter});
     return;
   }
   const BoundRoute* route = routes->Find(request.host, request.target);
   if (route == nullptr) {
-    LogEvent(Event::kRequestRejected,
-             {{"id", request.request_id},
-              {"status", kStatusNotFound},
-              {"cause", "no_route"},
-              {"config", routes->table->version()}});
+    LogEvent(Event::kRequestRejected, {{"id", request.request_id},
+                                       {"status", kStatusNotFound},
+                                       {"cause", "no_route"},
+                                       {"config", routes->table->version()}});
     OnAnswer({.status = kStatusNotFound});
     return;
   }
@@ -255,16 +255,15 @@
     return;
   }
   auto rest = std::make_shared<std::string>(bytes.substr(written));
-  asio::async_write(
-      socket_, asio::buffer(*rest),
-      [self = shared_from_this(), rest](boost::system::error_code write_error,
-                                        std::size_t) {
-        if (write_error) {
-          self->Close();
-        } else {
-          self->OnWritten();
-        }
-      });
+  asio::async_write(socket_, asio::buffer(*rest),
+                    [self = shared_from_this(), rest](
+                        boost::system::error_code write_error, std::size_t) {
+                      if (write_error) {
+                        self->Close();
+                      } else {
+                        self->OnWritten();
+                      }
+                    });
 }
 
 void ClientConnection::OnWritten() {
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -70,7 +70,7 @@
   std::string buffer_;  // Received, and not parsed yet.
   std::array<char, 8192> chunk_{};
   std::shared_ptr<RequestSession> session_;
-  bool busy_ = false;     // A request is at work or its answer being written.
+  bool busy_ = false;  // A request is at work or its answer being written.
   bool reading_ = false;
   bool closed_ = false;
   bool lingering_ = false;  // Only waits for the client to close.
--- a/lacewingknot/edge/control_server.cc
+++ b/lacewingknot/edge/control_server.cc
@@ -22,11 +22,11 @@
   void Read() {
     request_ = {};
     stream_.expires_after(kIdleTimeout);
-    http::async_read(stream_, buffer_, request_,
-                     [self = shared_from_this()](beast::error_code error,
-                                                 std::size_t) {
-                       if (!error) self->Answer();
-                     });
+    http::async_read(
+        stream_, buffer_, request_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+          if (!error) self->Answer();
+        });
   }
 
  private:
@@ -43,13 +43,13 @@
     response_.body() = reply.body;
     response_.keep_alive(request_.keep_alive());
     response_.prepare_payload();
-    http::async_write(stream_, response_,
-                      [self = shared_from_this()](beast::error_code error,
-                                                  std::size_t) {
-                        if (!error && self->response_.keep_alive()) {
-                          self->Read();
-                        }
-                      });
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+          if (!error && self->response_.keep_alive()) {
+            self->Read();
+          }
+        });
   }
 
   beast::tcp_stream stream_;
@@ -71,7 +71,8 @@
   acceptor->open(endpoint.value().protocol(), error);
   if (!error) acceptor->set_option(asio::socket_base::reuse_address(true));
   if (!error) acceptor->bind(endpoint.value(), error);
-  if (!error) acceptor->listen(asio::socket_base::max_listen_connections, error);
+  if (!error)
+    acceptor->listen(asio::socket_base::max_listen_connections, error);
   if (error) {
     return Error{ErrorType::kConnectFailed,
                  "cannot listen on " + address + ": " + error.message()};
@@ -82,12 +83,12 @@
 }
 
 void ControlServer::Accept(asio::ip::tcp::acceptor& acceptor) {
-  acceptor.async_accept([this, &acceptor](beast::error_code error,
-                                          asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) std::make_shared<Session>(std::move(socket), *this)->Read();
-    Accept(acceptor);
-  });
+  acceptor.async_accept(
+      [this, &acceptor](beast::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error) std::make_shared<Session>(std::move(socket), *this)->Read();
+        Accept(acceptor);
+      });
 }
 
 ControlReply ControlServer::Reply(std::string_view method,
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -62,9 +62,9 @@
        // fleet differently keep the sum below the whole.
        .burst = std::max(1.0, options_.extra_attempts / 2 / fleet)});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
-  const auto quota = std::max<std::int64_t>(
-      1, service.limits().max_connections /
-             static_cast<std::int64_t>(fleet_size_));
+  const auto quota =
+      std::max<std::int64_t>(1, service.limits().max_connections /
+                                    static_cast<std::int64_t>(fleet_size_));
   for (const UpstreamPtr& upstream : service.upstreams()) {
     upstream->set_connection_quota(quota);
   }
@@ -84,10 +84,10 @@
       route.services.push_back(ServiceNamed(target.service));
       weights.push_back(target.weight);
     }
-    const double phase = static_cast<double>(
-                             std::hash<std::string>()(options_.data_centre) %
-                             1'000) /
-                         1'000;
+    const double phase =
+        static_cast<double>(std::hash<std::string>()(options_.data_centre) %
+                            1'000) /
+        1'000;
     route.turns = std::make_shared<WeightedTurns>(weights, phase);
     auto& history = histories_[spec.name];
     if (!history) history = std::make_shared<RouteHistory>();
@@ -103,8 +103,8 @@
 }
 
 void EdgeCore::set_fleet_size(std::size_t size) {
-  fleet_size_ = std::max<std::size_t>(size, 1);
-  options_.metrics->set_peers(fleet_size_);
+  options_.metrics->set_peers(size);
+  fleet_size_ = std::max(size, kLeastFleet);
   for (const auto& [name, service] : services_) ApplyShares(*service);
 }
 
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -45,7 +45,7 @@
 // A route with its names resolved.
 struct BoundRoute {
   const RouteSpec* spec = nullptr;
-  std::vector<ServicePtr> services;  // Of `targets`, or of `shards`.
+  std::vector<ServicePtr> services;      // Of `targets`, or of `shards`.
   std::shared_ptr<WeightedTurns> turns;  // Among `targets`.
   std::shared_ptr<RouteHistory> history;
 };
@@ -91,8 +91,9 @@
   // Part of the fleet's extra attempts that is spent on the ratio; the rest
   // covers daemons that disagree about the fleet.
   static constexpr double kRatioUsed = 0.85;
-  // Daemons assumed until peers are known.
-  static constexpr std::size_t kAssumedFleet = 9;
+  // Least number of daemons assumed, for those that peers have not told of yet
+  // and for VMs that may be added.
+  static constexpr std::size_t kLeastFleet = 8;
 
   ServicePtr ServiceNamed(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
@@ -107,7 +108,7 @@
   std::map<std::string, ServicePtr, std::less<>> services_;
   std::map<std::string, UpstreamPtr, std::less<>> upstreams_;
   std::map<std::string, std::shared_ptr<RouteHistory>, std::less<>> histories_;
-  std::size_t fleet_size_ = kAssumedFleet;
+  std::size_t fleet_size_ = kLeastFleet;
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -51,6 +52,9 @@
   if (const auto listening = server_.Listen(); !listening) {
     return listening.error();
   }
+  if (const auto gossiping = StartGossip(); !gossiping) {
+    return gossiping.error();
+  }
   for (asio::io_context* io : {&traffic_io_, &control_io_}) {
     std::thread([io] {
       const auto work = asio::make_work_guard(*io);
@@ -64,6 +68,45 @@
   return Ok();
 }
 
+Result<void> EdgeDaemon::StartGossip() {
+  const EdgeSettings& settings = options_.settings;
+  if (settings.gossip_listen.empty()) return Ok();
+  // Peers are named by their control addresses; all gossip on one port.
+  const std::string port =
+      settings.gossip_listen.substr(settings.gossip_listen.rfind(':'));
+  std::vector<std::string> seeds;
+  for (const std::string& peer : settings.peers) {
+    seeds.push_back(peer.substr(0, peer.rfind(':')) + port);
+  }
+  const auto started = BootClock::now().time_since_epoch();
+  gossip_.emplace(
+      control_io_,
+      PeerGossip::Options{
+          .listen = settings.gossip_listen,
+          .seeds = std::move(seeds),
+          // The VM's uptime: it rises from one start of the process to the
+          // next, and the time of day need not.
+          .incarnation = static_cast<std::uint64_t>(ToMillis(started)),
+          .random_seed = std::random_device()(),
+          .on_fleet_size = [this](std::size_t size) { OnFleetSize(size); },
+          .on_store_revision =
+              [this](std::uint64_t revision) {
+                if (options_.on_peer_revision) {
+                  options_.on_peer_revision(revision);
+                }
+              }});
+  return gossip_->Start();
+}
+
+void EdgeDaemon::OnFleetSize(std::size_t size) {
+  fleet_size_ = size;
+  Post([this, size] { core_.set_fleet_size(size); });
+}
+
+void EdgeDaemon::OnStoreRevision(std::uint64_t revision) {
+  if (gossip_) gossip_->set_store_revision(revision);
+}
+
 void EdgeDaemon::Post(std::function<void()> run) {
   asio::post(traffic_io_, std::move(run));
 }
@@ -85,8 +128,7 @@
 }
 
 bool EdgeDaemon::IsReady() const {
-  return !draining_ && routes_.generation() > 0 &&
-         directory_.generation() > 0;
+  return !draining_ && routes_.generation() > 0 && directory_.generation() > 0;
 }
 
 void EdgeDaemon::NoteReadiness() {
@@ -102,6 +144,7 @@
   nlohmann::json status{{"vm", options_.settings.vm},
                         {"data_centre", options_.settings.data_centre},
                         {"ready", IsReady()},
+                        {"fleet_size", fleet_size_.load()},
                         {"draining", draining_.load()}};
   if (const auto routes = routes_.Read()) {
     status["config_version"] = (*routes)->version();
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -11,8 +11,11 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <condition_variable>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "lacewingknot/base/error.h"
@@ -21,6 +24,7 @@
 #include "lacewingknot/edge/edge_core.h"
 #include "lacewingknot/edge/edge_server.h"
 #include "lacewingknot/edge/edge_settings.h"
+#include "lacewingknot/edge/peer_gossip.h"
 
 namespace lacewingknot::edge {
 
@@ -30,6 +34,8 @@
     EdgeSettings settings;
     const HeaderNames* names = nullptr;
     std::string readiness_path;
+    // A peer has seen a revision of the store.
+    std::function<void(std::uint64_t revision)> on_peer_revision;
   };
 
   explicit EdgeDaemon(Options options);
@@ -40,6 +46,9 @@
   void OnRoutes(std::shared_ptr<const RoutingTable> table);
   void OnDirectory(std::shared_ptr<const Directory> directory);
   EdgeMetrics& metrics() { return metrics_; }
+  // Thread-safe, like the one below.
+  void OnStoreRevision(std::uint64_t revision);
+  bool has_peers() const { return fleet_size_ > 1; }
 
   // Takes what may change in a running process.
   void Reload(const EdgeSettings& settings);
@@ -48,6 +57,8 @@
   void Drain();
 
  private:
+  Result<void> StartGossip();
+  void OnFleetSize(std::size_t size);
   bool IsReady() const;
   void NoteReadiness();
   std::string Status() const;
@@ -60,6 +71,8 @@
   EdgeCore core_;
   EdgeServer server_;
   ControlServer control_;
+  std::optional<PeerGossip> gossip_;
+  std::atomic<std::size_t> fleet_size_ = 1;
   Section<std::shared_ptr<const RoutingTable>> routes_;
   Section<std::shared_ptr<const Directory>> directory_;
   std::atomic<bool> draining_ = false;
--- a/lacewingknot/edge/edge_server.cc
+++ b/lacewingknot/edge/edge_server.cc
@@ -19,11 +19,12 @@
   acceptor_.open(endpoint.value().protocol(), error);
   if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
   if (!error) acceptor_.bind(endpoint.value(), error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (error) {
-    return Error{ErrorType::kConnectFailed,
-                 "cannot listen on " + options_.listen + ": " +
-                     error.message()};
+    return Error{
+        ErrorType::kConnectFailed,
+        "cannot listen on " + options_.listen + ": " + error.message()};
   }
   Accept();
   return Ok();
@@ -40,12 +41,12 @@
     }
     auto connection = std::make_shared<ClientConnection>(
         std::move(socket),
-        ClientConnection::Options{
-            .core = options_.core,
-            .is_draining = [this] { return draining_; },
-            .on_closed = [this](ClientConnection* closed) {
-              connections_.erase(closed);
-            }});
+        ClientConnection::Options{.core = options_.core,
+                                  .is_draining = [this] { return draining_; },
+                                  .on_closed =
+                                      [this](ClientConnection* closed) {
+                                        connections_.erase(closed);
+                                      }});
     connections_.emplace(connection.get(), connection);
     connection->Start();
     Accept();
@@ -70,8 +71,7 @@
       open.push_back(connection);
     }
     for (const auto& connection : open) connection->CloseIfIdle();
-    if (connections_.empty() ||
-        passed >= options_.stop_grace - kExitMargin) {
+    if (connections_.empty() || passed >= options_.stop_grace - kExitMargin) {
       std::exchange(drained_, nullptr)();
       return;
     }
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -19,10 +19,19 @@
     {"error", LogLevel::kError},
 }};
 
-constexpr std::array<std::string_view, 11> kKnownKeys{
-    "vm",   "data_centre", "listen",    "readiness_listen", "control_listen",
-    "peers", "store",      "log_level", "metrics_listen",   "extra_load",
-    "stop"};
+constexpr std::array<std::string_view, 13> kKnownKeys{"vm",
+                                                      "data_centre",
+                                                      "listen",
+                                                      "readiness_listen",
+                                                      "control_listen",
+                                                      "metrics_listen",
+                                                      "gossip_listen",
+                                                      "peers",
+                                                      "store",
+                                                      "store_max_staleness_ms",
+                                                      "log_level",
+                                                      "extra_load",
+                                                      "stop"};
 
 class Reader {
  public:
@@ -62,20 +71,29 @@
     value = text;
   }
 
-  void Number(const toml::table& root, std::string_view table_name,
-              std::string_view key, double min, double max, double& value) {
-    const toml::table* table = root[table_name].as_table();
-    const toml::node* node = table ? table->get(key) : nullptr;
+  // `path` is dotted for a key in a table.
+  void Number(const toml::table& root, std::string_view path, double min,
+              double max, double& value) {
+    const auto view = root.at_path(path);
+    const toml::node* node = view.node();
     if (node == nullptr) return;
     const auto number = node->value<double>();
     if (number && *number >= min && *number <= max) {
       value = *number;
       return;
     }
-    Fault(*node, std::string(table_name) + "." + std::string(key),
-          "wrong type or range",
-          "a number from " + std::to_string(min) + " to " +
-              std::to_string(max));
+    Fault(
+        *node, path, "wrong type or range",
+        "a number from " + std::to_string(min) + " to " + std::to_string(max));
+  }
+
+  // A number of the unit that `Unit` has.
+  template <typename Unit>
+  void Span(const toml::table& root, std::string_view path, double min,
+            double max, Duration& value) {
+    double number = std::chrono::duration_cast<Unit>(value).count();
+    Number(root, path, min, max, number);
+    value = std::chrono::duration_cast<Duration>(Unit(number));
   }
 
   void Peers(const toml::table& root) {
@@ -137,17 +155,17 @@
   reader.Address(root, "readiness_listen", true, settings.readiness_listen);
   reader.Address(root, "control_listen", false, settings.control_listen);
   reader.Address(root, "metrics_listen", false, settings.metrics_listen);
+  reader.Address(root, "gossip_listen", false, settings.gossip_listen);
   reader.Address(root, "store", true, settings.store);
   reader.Peers(root);
   reader.Level(root);
-  reader.Number(root, "extra_load", "ratio", 0, 1, settings.extra_ratio);
-  reader.Number(root, "extra_load", "attempts", 0, 1e6,
-                settings.extra_attempts);
-  double grace_seconds =
-      std::chrono::duration<double>(settings.stop_grace).count();
-  reader.Number(root, "stop", "grace_seconds", 0.5, 3600, grace_seconds);
-  settings.stop_grace = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(grace_seconds));
+  reader.Number(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
+  reader.Number(root, "extra_load.attempts", 0, 1e6, settings.extra_attempts);
+  reader.Span<std::chrono::duration<double>>(root, "stop.grace_seconds", 0.5,
+                                             3'600, settings.stop_grace);
+  reader.Span<std::chrono::duration<double, std::milli>>(
+      root, "store_max_staleness_ms", 1'500, 60'000,
+      settings.store_max_staleness);
   for (const auto& [key, node] : root) {
     if (std::find(kKnownKeys.begin(), kKnownKeys.end(), key.str()) ==
         kKnownKeys.end()) {
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -6,9 +6,11 @@
 //   readiness_listen = "10.1.0.9:8108"  # the balancer
 //   control_listen = "10.1.0.9:8106"    # other daemons, lacewingknotctl
 //   metrics_listen = "10.1.0.9:9464"    # Prometheus
+//   gossip_listen = "10.1.0.9:7380"     # other daemons, UDP
 //   peers = ["10.1.0.9:8106"]           # control addresses of some daemons
 //   store = "10.200.1.7:8102"           # the configuration store
 //   log_level = "info"
+//   store_max_staleness_ms = 4000       # age of what is known of the store
 //   [extra_load]                        # of the whole fleet, for each service
 //   ratio = 0.2
 //   attempts = 52
@@ -38,8 +40,10 @@
   std::string readiness_listen;
   std::string control_listen;  // Empty: no other daemon is known.
   std::string metrics_listen;  // Empty: metrics are served on control_listen.
+  std::string gossip_listen;   // Empty: no gossip.
   std::vector<std::string> peers;
   std::string store;
+  Duration store_max_staleness = std::chrono::milliseconds(4'000);
   LogLevel log_level = LogLevel::kInfo;
   double extra_ratio = 0.1;
   double extra_attempts = 10;
--- a/lacewingknot/edge/header_names.h
+++ b/lacewingknot/edge/header_names.h
@@ -11,13 +11,14 @@
 namespace lacewingknot::edge {
 
 struct HeaderNames {
-  std::string request_id;         // Echoed by upstreams.
-  std::string deadline_ms;        // Milliseconds that the sender still waits.
-  std::string signature;          // An upstream's signature of its answer.
-  std::string expected_upstream;  // The id of the only upstream that may run it.
-  std::string not_run;            // Present: the request did not run.
-  std::string part_signatures;    // Signatures of the parts in a merged answer.
-  std::string missing_parts;      // Number of shards left out.
+  std::string request_id;   // Echoed by upstreams.
+  std::string deadline_ms;  // Milliseconds that the sender still waits.
+  std::string signature;    // An upstream's signature of its answer.
+  std::string
+      expected_upstream;        // The id of the only upstream that may run it.
+  std::string not_run;          // Present: the request did not run.
+  std::string part_signatures;  // Signatures of the parts in a merged answer.
+  std::string missing_parts;    // Number of shards left out.
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -83,8 +83,7 @@
                                            error_code& /*error*/) {}
 
 void ClientRequestReader::on_field_impl(field name, string_view name_text,
-                                        string_view value,
-                                        error_code& error) {
+                                        string_view value, error_code& error) {
   if (name == field::host) {
     // A second Host makes the route ambiguous.
     if (!request_.host.empty()) error = http::error::bad_field;
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -38,12 +38,12 @@
 struct UpstreamReply {
   int status = 0;
   std::string reason;
-  std::string request_id;         // Empty if it echoes none.
-  std::string signature;          // Empty if it carries none.
-  bool not_run = false;           // The upstream says that it did not run it.
-  bool keep_alive = true;         // The connection may be used again.
+  std::string request_id;  // Empty if it echoes none.
+  std::string signature;   // Empty if it carries none.
+  bool not_run = false;    // The upstream says that it did not run it.
+  bool keep_alive = true;  // The connection may be used again.
   std::optional<Duration> idle_timeout;  // After which the upstream closes it.
-  std::string forwarded_headers;  // Only if asked for.
+  std::string forwarded_headers;         // Only if asked for.
   std::string body;
 };
 
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -43,8 +43,8 @@
 }
 
 bool PassSession::MayRunAgain() const {
-  return runs_ == 0 || (spec().repeat == Repeat::kIdempotent &&
-                        runs_ < spec().max_attempts);
+  return runs_ == 0 ||
+         (spec().repeat == Repeat::kIdempotent && runs_ < spec().max_attempts);
 }
 
 void PassSession::OnResult(const AttemptPtr& attempt, AttemptKind kind,
@@ -63,8 +63,8 @@
   }
   if (result.end == AttemptEnd::kRefused) ++refusals_;
   if (result.end == AttemptEnd::kLost) ++runs_;
-  const bool may_try = MayRunAgain() && refusals_ <= kMaxRefusals &&
-                       now < deadline();
+  const bool may_try =
+      MayRunAgain() && refusals_ <= kMaxRefusals && now < deadline();
   if (may_try && Place(AttemptKind::kRetry, now)) return;
   if (runs_ == 0) {
     Refuse(last_cause_);
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -40,8 +40,7 @@
 }  // namespace
 
 RequestSession::RequestSession(Options options)
-    : options_(std::move(options)),
-      outbound_(MakeOutbound(options_.request)) {
+    : options_(std::move(options)), outbound_(MakeOutbound(options_.request)) {
   Duration left = spec().timeout;
   if (request().time_left) left = std::min(left, *request().time_left);
   deadline_ = started_at() + std::max(left - kAnswerMargin, left / 2);
@@ -89,9 +88,9 @@
             {"config", options_.routes->table->version()},
             {"upstreams_revision",
              directory == nullptr ? std::uint64_t{0} : directory->revision},
-            {"upstreams_age_ms",
-             directory == nullptr ? std::int64_t{-1}
-                                  : ToMillis(now - directory->confirmed_at)},
+            {"upstreams_age_ms", directory == nullptr
+                                     ? std::int64_t{-1}
+                                     : ToMillis(now - directory->confirmed_at)},
             {"status", status},
             {"outcome", outcome},
             {"cause", cause},
--- a/lacewingknot/edge/routing_table.h
+++ b/lacewingknot/edge/routing_table.h
@@ -40,8 +40,8 @@
   std::string host;
   std::string prefix;  // Begins and ends with a slash.
   Repeat repeat = Repeat::kAtMostOnce;
-  Duration timeout{};         // The longest time a client is kept waiting.
-  Duration target_latency{};  // The latency objective.
+  Duration timeout{};             // The longest time a client is kept waiting.
+  Duration target_latency{};      // The latency objective.
   std::int64_t max_attempts = 1;  // Upstreams for each request and shard.
   std::int64_t priority = 0;      // 0 is the most urgent.
 
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -24,9 +24,8 @@
 
 ScatterSession::ScatterSession(Options options)
     : RequestSession(std::move(options)), shards_(route().services.size()) {
-  answer_by_ = std::min(
-      deadline(), started_at() + spec().target_latency - client_round_trip() -
-                      kSendingMargin);
+  answer_by_ = std::min(deadline(), started_at() + spec().target_latency -
+                                        client_round_trip() - kSendingMargin);
   useful_until_ =
       std::min(deadline(),
                started_at() + std::chrono::duration_cast<Duration>(
@@ -71,15 +70,14 @@
   hedge_timer_ = core().timers().At(
       now + route().history->HedgeDelay(spec().target_latency),
       [self] { self->Hedge(); });
-  answer_timer_ = core().timers().At(
-      answer_by_, [self] { self->Judge(BootClock::now()); });
-  deadline_timer_ = core().timers().At(
-      deadline(), [self] { self->Judge(BootClock::now()); });
+  answer_timer_ =
+      core().timers().At(answer_by_, [self] { self->Judge(BootClock::now()); });
+  deadline_timer_ =
+      core().timers().At(deadline(), [self] { self->Judge(BootClock::now()); });
   Judge(now);
 }
 
-bool ScatterSession::Place(std::size_t index, AttemptKind kind,
-                           TimePoint now) {
+bool ScatterSession::Place(std::size_t index, AttemptKind kind, TimePoint now) {
   Shard& shard = shards_[index];
   Service& service = *route().services[index];
   UpstreamPtr upstream = service.Choose(shard.tried, false, now);
@@ -160,8 +158,8 @@
                                      const AttemptResult& result,
                                      TimePoint now) {
   Shard& shard = shards_[index];
-  shard.cause = result.cause.empty() ? AttemptEndName(result.end)
-                                     : result.cause;
+  shard.cause =
+      result.cause.empty() ? AttemptEndName(result.end) : result.cause;
   if (result.end == AttemptEnd::kRefused) ++shard.refusals;
   if (!shard.live.empty()) return;
   if (MayRetry(shard) && Place(index, AttemptKind::kRetry, now)) {
@@ -191,8 +189,8 @@
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   hedge_timer_ = core().timers().At(
-      now + route().history->HedgeDelay(spec().target_latency) *
-                kSecondHedgeLook,
+      now +
+          route().history->HedgeDelay(spec().target_latency) * kSecondHedgeLook,
       [self] { self->Hedge(); });
 }
 
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -34,7 +34,7 @@
     ShardState state = ShardState::kWaiting;
     std::vector<UpstreamPtr> tried;
     std::vector<LiveAttempt> live;
-    std::int64_t runs = 0;     // Attempts that ran or may have run.
+    std::int64_t runs = 0;  // Attempts that ran or may have run.
     std::int64_t refusals = 0;
     std::string signature;
     std::string records;
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -16,8 +16,7 @@
       [](const UpstreamPtr& upstream) { return upstream->usable(); });
 }
 
-bool Service::PassesColdGate(const UpstreamPtr& upstream,
-                             TimePoint now) const {
+bool Service::PassesColdGate(const UpstreamPtr& upstream, TimePoint now) const {
   if (limits_.cold_requests_per_second <= 0) return true;
   if (upstream->record().cold_until <= now) return true;
   const auto gate = cold_gates_.find(upstream.get());
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -44,8 +44,7 @@
     return;
   }
   options_.timers->At(
-      BootClock::now() + kAbandonGrace,
-      [self = shared_from_this(), attempt] {
+      BootClock::now() + kAbandonGrace, [self = shared_from_this(), attempt] {
         for (const ConnectionPtr& connection : self->connections_) {
           if (connection->attempt() != attempt) continue;
           const ConnectionPtr kept = connection;
@@ -89,11 +88,11 @@
 }
 
 std::size_t Upstream::OpenCount(UpstreamConnection::State state) const {
-  return static_cast<std::size_t>(std::count_if(
-      connections_.begin(), connections_.end(),
-      [&](const ConnectionPtr& connection) {
-        return connection->state() == state;
-      }));
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [&](const ConnectionPtr& connection) {
+                      return connection->state() == state;
+                    }));
 }
 
 Upstream::ConnectionPtr Upstream::IdleConnection(TimePoint now) {
@@ -101,10 +100,9 @@
   std::vector<ConnectionPtr> expired;
   for (const ConnectionPtr& connection : connections_) {
     if (connection->state() != UpstreamConnection::State::kIdle) continue;
-    const Duration idle_time =
-        connection->idle_timeout()
-            ? *connection->idle_timeout() - kIdleMargin
-            : kDefaultIdleTime;
+    const Duration idle_time = connection->idle_timeout()
+                                   ? *connection->idle_timeout() - kIdleMargin
+                                   : kDefaultIdleTime;
     if (now - connection->idle_since() >= idle_time) {
       expired.push_back(connection);
     } else if (!best || connection->idle_since() > best->idle_since()) {
@@ -282,8 +280,8 @@
   for (const ConnectionPtr& connection : connections_) {
     if (connection->state() != UpstreamConnection::State::kBusy) continue;
     ++load.in_flight;
-    load.oldest_in_flight = std::max(
-        load.oldest_in_flight, now - connection->attempt()->sent_at);
+    load.oldest_in_flight =
+        std::max(load.oldest_in_flight, now - connection->attempt()->sent_at);
   }
   const double kept =
       std::exp2(-Seconds(now - latency_at_) / kForgetHalfLifeSeconds);
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -55,7 +55,9 @@
   void Abandon(const AttemptPtr& attempt);
 
   // Takes a new record of the same incarnation.
-  void UpdateRecord(UpstreamRecord record) { options_.record = std::move(record); }
+  void UpdateRecord(UpstreamRecord record) {
+    options_.record = std::move(record);
+  }
   void set_connection_quota(std::int64_t quota) {
     options_.connection_quota = quota;
   }
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -18,10 +18,8 @@
 
 std::string VaryingHeaders(const HeaderNames& names, const std::string& id,
                            const Attempt& attempt, TimePoint now) {
-  const std::int64_t left =
-      std::max<std::int64_t>(ToMillis(attempt.useful_until - now -
-                                      kReturnMargin),
-                             1);
+  const std::int64_t left = std::max<std::int64_t>(
+      ToMillis(attempt.useful_until - now - kReturnMargin), 1);
   std::string text;
   text.reserve(96);
   text += names.deadline_ms;
@@ -51,11 +49,11 @@
     return;
   }
   internal::SetUpstreamSocketOptions(socket_);
-  socket_.async_connect(options_.endpoint,
-                        [self = shared_from_this()](
-                            boost::system::error_code connect_error) {
-                          self->OnConnected(connect_error);
-                        });
+  socket_.async_connect(
+      options_.endpoint,
+      [self = shared_from_this()](boost::system::error_code connect_error) {
+        self->OnConnected(connect_error);
+      });
 }
 
 void UpstreamConnection::OnConnected(boost::system::error_code error) {
@@ -102,8 +100,8 @@
     return;
   }
   if (written == total) return;
-  auto rest = std::make_shared<std::string>(request.head + varying +
-                                            request.body);
+  auto rest =
+      std::make_shared<std::string>(request.head + varying + request.body);
   rest->erase(0, written);
   WriteRest(std::move(rest));
 }
@@ -207,8 +205,8 @@
   result.end = refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered;
   // Bytes behind the answer, or an answer before the request was written,
   // leave the connection in an unknown state.
-  const bool reusable = reply.keep_alive && pending_.empty() && !writing_ &&
-                        stray_answers_ == 0;
+  const bool reusable =
+      reply.keep_alive && pending_.empty() && !writing_ && stray_answers_ == 0;
   result.reply = std::move(reply);
   End(std::move(result), reusable);
 }
--- a/lacewingknot/policy/cold_gate.h
+++ b/lacewingknot/policy/cold_gate.h
@@ -25,12 +25,11 @@
   bool Allows(double per_second, TimePoint now) const {
     if (per_second <= 0) return false;
     const double whole = std::max(1.0, std::floor(per_second));
-    const auto window =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-            whole / std::min(per_second, whole)));
-    const auto recent = std::count_if(
-        sent_.begin(), sent_.end(),
-        [&](TimePoint at) { return now - at < window; });
+    const auto window = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(whole / std::min(per_second, whole)));
+    const auto recent =
+        std::count_if(sent_.begin(), sent_.end(),
+                      [&](TimePoint at) { return now - at < window; });
     return static_cast<double>(recent) < whole;
   }
 
--- a/lacewingknot/policy/replica_choice.cc
+++ b/lacewingknot/policy/replica_choice.cc
@@ -27,8 +27,7 @@
   const auto work = static_cast<double>(load.in_flight + load.queued);
   const auto slots = static_cast<double>(std::max<std::int64_t>(load.slots, 1));
   const double waiting = std::max(0.0, work + 1 - slots) / slots;
-  Duration time =
-      Scaled(load.expected, 1 + waiting + kSharedSlotCost * work);
+  Duration time = Scaled(load.expected, 1 + waiting + kSharedSlotCost * work);
   time += Scaled(options.failure_cost, load.failure_share);
   if (!load.local) time += options.remote_penalty;
   if (IsSuspect(load, options)) time += load.oldest_in_flight;
