Removals are held only after real outages; a replaced address is left alone

Now the first 421 ends the use of that upstream. Now only a loss of a second or more holds removals, or many removals within a moment.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -52,6 +52,7 @@
     EventInfo{Event::kStoreLost, "store_lost", Level::kWarning},
     EventInfo{Event::kStoreRegained, "store_regained", Level::kInfo},
     EventInfo{Event::kStoreHistoryGone, "store_history_gone", Level::kWarning},
+    EventInfo{Event::kStoreWatchStale, "store_watch_stale", Level::kInfo},
     EventInfo{Event::kUpstreamPresumedCold, "upstream_presumed_cold",
               Level::kInfo},
     EventInfo{Event::kUpstreamWarm, "upstream_warm", Level::kInfo},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -50,6 +50,7 @@
   kStoreLost = 1113,
   kStoreRegained = 1114,
   kStoreHistoryGone = 1115,
+  kStoreWatchStale = 1116,
   kUpstreamPresumedCold = 1201,
   kUpstreamWarm = 1202,
   kUpstreamFellBack = 1203,
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -31,6 +31,9 @@
 
 inline constexpr std::size_t kAttemptEnds = 4;
 
+// Status of an upstream that is not the one that was expected.
+inline constexpr int kMisdirected = 421;
+
 // Why an attempt was placed.
 enum class AttemptKind { kFirst, kHedge, kRetry };
 inline constexpr std::size_t kAttemptKinds = 3;
@@ -40,8 +43,8 @@
 
 struct AttemptResult {
   AttemptEnd end = AttemptEnd::kNotSent;
-  UpstreamReply reply;          // With kAnswered and kRefused.
-  std::string_view cause = "";  // Why, for the log; a literal.
+  UpstreamReply reply;     // With kAnswered and kRefused.
+  std::string_view cause;  // Why, for the log; a literal.
 };
 
 // Kept alive by the connection or queue that holds it.
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -93,11 +93,11 @@
 
 void ClientConnection::ArmTimer(Duration after) {
   options_.core->timers().Cancel(timer_);
-  timer_ = options_.core->timers().At(BootClock::now() + after,
-                                      [weak = weak_from_this()] {
-                                        if (const auto self = weak.lock())
-                                          self->OnTimeout();
-                                      });
+  const auto run = [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self) self->OnTimeout();
+  };
+  timer_ = options_.core->timers().At(BootClock::now() + after, run);
 }
 
 void ClientConnection::OnTimeout() {
@@ -202,8 +202,8 @@
   ClientRequest request = std::move(reader_->request());
   keep_alive_ = request.keep_alive;
   head_only_ = request.method == "HEAD";
-  const auto answer = [weak = weak_from_this()](ClientAnswer given) {
-    if (const auto self = weak.lock()) self->OnAnswer(std::move(given));
+  const auto answer = [weak = weak_from_this()](const ClientAnswer& given) {
+    if (const auto self = weak.lock()) self->OnAnswer(given);
   };
   const auto routes = options_.core->routes();
   if (!routes || options_.core->directory() == nullptr) {
@@ -236,7 +236,7 @@
   if (busy_ && !closed_) session_ = std::move(session);
 }
 
-void ClientConnection::OnAnswer(ClientAnswer answer) {
+void ClientConnection::OnAnswer(const ClientAnswer& answer) {
   if (closed_) return;
   session_ = nullptr;
   if (options_.is_draining()) keep_alive_ = false;
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -55,7 +55,7 @@
   void OnRequest();
   void OnParseError(boost::system::error_code error);
   void Reject(int status, std::string_view cause);
-  void OnAnswer(ClientAnswer answer);
+  void OnAnswer(const ClientAnswer& answer);
   void Write(std::string bytes);
   void OnWritten();
   void Linger();
--- a/lacewingknot/edge/control_server.cc
+++ b/lacewingknot/edge/control_server.cc
@@ -71,8 +71,9 @@
   acceptor->open(endpoint.value().protocol(), error);
   if (!error) acceptor->set_option(asio::socket_base::reuse_address(true));
   if (!error) acceptor->bind(endpoint.value(), error);
-  if (!error)
+  if (!error) {
     acceptor->listen(asio::socket_base::max_listen_connections, error);
+  }
   if (error) {
     return Error{ErrorType::kConnectFailed,
                  "cannot listen on " + address + ": " + error.message()};
--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -28,11 +28,17 @@
   entry.revision = revision;
   if (entry.remove_at) return;
   entry.remove_at = now;
-  if (source_lost_) {
-    entry.remove_at = now + kHoldAfterOutage;
-  } else if (answered_again_at_) {
+  if (answered_again_at_) {
     entry.remove_at = std::max(now, *answered_again_at_ + kHoldAfterOutage);
   }
+  if (*entry.remove_at > now) return;
+  std::erase_if(removal_times_,
+                [&](TimePoint at) { return now - at > kSuddenTime; });
+  removal_times_.push_back(now);
+  if (static_cast<double>(removal_times_.size()) >
+      kSuddenShare * static_cast<double>(entries_.size())) {
+    entry.remove_at = now + kHoldAfterOutage;
+  }
 }
 
 void DirectoryState::KeepOnly(const std::set<std::string>& present,
@@ -69,11 +75,15 @@
              changed_;
 }
 
-void DirectoryState::OnSourceLost(TimePoint /*now*/) { source_lost_ = true; }
+void DirectoryState::OnSourceLost(TimePoint now) {
+  if (!lost_since_) lost_since_ = now;
+}
 
 void DirectoryState::OnSourceAnswered(std::uint64_t confirmed, TimePoint now) {
-  if (source_lost_) answered_again_at_ = now;
-  source_lost_ = false;
+  if (lost_since_ && now - *lost_since_ >= kShortestOutage) {
+    answered_again_at_ = now;
+  }
+  lost_since_.reset();
   confirmed_at_ = now;
   revision_ = std::max(revision_, confirmed);
 }
@@ -83,17 +93,8 @@
   for (const auto& [id, entry] : entries_) {
     if (entry.remove_at && *entry.remove_at <= now) due.push_back(id);
   }
-  const bool calm =
-      !answered_again_at_ || now >= *answered_again_at_ + kHoldAfterOutage;
-  const bool sudden = static_cast<double>(due.size()) >
-                      kSuddenShare * static_cast<double>(entries_.size());
   for (const std::string& id : due) {
-    Entry& entry = entries_[id];
-    // Removed just now together with many others: wait as after an outage.
-    if (sudden && calm && *entry.remove_at == now) {
-      entry.remove_at = now + kHoldAfterOutage;
-      continue;
-    }
+    const Entry& entry = entries_[id];
     removed_[id] = entry.revision;
     entries_.erase(id);
     changed_ = true;
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -1,10 +1,11 @@
 // Keeps the directory of upstreams true while its source comes and goes.
 //
 // Entries vanish from the store when their owners cannot renew them, also while
-// only the store was away and the upstream served on. A removal seen during or
-// just after an outage is therefore held back for kHoldAfterOutage; an upstream
-// that has not come back by then is gone. A removal in quiet times counts at
-// once, unless it takes much of the directory away together.
+// only the store was away and the upstream served on. A removal seen just after
+// an outage is therefore held back until kHoldAfterOutage; an upstream that has
+// not come back by then is gone. A removal in quiet times counts at once,
+// unless much of the directory goes within a moment: then the store was away
+// unseen.
 //
 // Pure: takes the time as an argument. Not thread-safe.
 //
@@ -21,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "lacewingknot/edge/upstream_directory.h"
 
@@ -31,6 +33,8 @@
   // Entries of live upstreams are back within about two seconds of the store's
   // return; the rest is for our own delay in reading them.
   static constexpr Duration kHoldAfterOutage = std::chrono::milliseconds(2'500);
+  // A shorter loss of the source lets no entry expire.
+  static constexpr Duration kShortestOutage = std::chrono::milliseconds(1'000);
 
   // A value or removal of an entry at `revision`. Older revisions than the one
   // known of the same entry are ignored.
@@ -50,7 +54,7 @@
   // vouches for.
   void OnSourceLost(TimePoint now);
   void OnSourceAnswered(std::uint64_t confirmed, TimePoint now);
-  bool source_lost() const { return source_lost_; }
+  bool source_lost() const { return lost_since_.has_value(); }
 
   // Carries out removals whose time has come. Returns whether there is anything
   // new to publish since the last call.
@@ -61,8 +65,9 @@
   Directory Snapshot() const;
 
  private:
-  // Share of the directory that removals at one time may take at once.
-  static constexpr double kSuddenShare = 0.34;
+  // Share of the directory that may go within kSuddenTime and count at once.
+  static constexpr double kSuddenShare = 0.3;
+  static constexpr Duration kSuddenTime = std::chrono::milliseconds(1'500);
 
   struct Entry {
     UpstreamRecord record;
@@ -74,7 +79,8 @@
   std::map<std::string, std::uint64_t> removed_;  // Revision of the removal.
   std::set<std::string> evacuated_;
   std::map<std::string, std::uint64_t> evacuation_revisions_;
-  bool source_lost_ = false;
+  std::optional<TimePoint> lost_since_;
+  std::vector<TimePoint> removal_times_;  // Within kSuddenTime.
   std::optional<TimePoint> answered_again_at_;
   std::uint64_t revision_ = 0;
   TimePoint confirmed_at_{};
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -70,7 +70,7 @@
   }
 }
 
-void EdgeCore::ApplyRouting(std::shared_ptr<const RoutingTable> table) {
+void EdgeCore::ApplyRouting(const std::shared_ptr<const RoutingTable>& table) {
   auto bound = std::make_shared<BoundTable>();
   bound->table = table;
   bound->routes.reserve(table->routes().size());
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -73,7 +73,7 @@
 
   explicit EdgeCore(Options options);
 
-  void ApplyRouting(std::shared_ptr<const RoutingTable> table);
+  void ApplyRouting(const std::shared_ptr<const RoutingTable>& table);
   void ApplyDirectory(std::shared_ptr<const Directory> directory);
   // Daemons believed to be alive; limits of the fleet are divided by it.
   void set_fleet_size(std::size_t size);
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -113,9 +113,7 @@
 
 void EdgeDaemon::OnRoutes(std::shared_ptr<const RoutingTable> table) {
   routes_.Publish(table);
-  Post([this, table = std::move(table)]() mutable {
-    core_.ApplyRouting(std::move(table));
-  });
+  Post([this, table = std::move(table)] { core_.ApplyRouting(table); });
   NoteReadiness();
 }
 
--- a/lacewingknot/edge/edge_server.cc
+++ b/lacewingknot/edge/edge_server.cc
@@ -19,8 +19,9 @@
   acceptor_.open(endpoint.value().protocol(), error);
   if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
   if (!error) acceptor_.bind(endpoint.value(), error);
-  if (!error)
+  if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
   if (error) {
     return Error{
         ErrorType::kConnectFailed,
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -45,7 +45,7 @@
   std::int64_t runs_ = 0;  // Attempts that ran or may have run.
   std::int64_t refusals_ = 0;
   std::size_t attempts_ = 0;
-  std::string_view last_cause_ = "";
+  std::string_view last_cause_;
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -55,13 +55,13 @@
   AbandonAttempts();
 }
 
-void RequestSession::Finish(ClientAnswer answer, std::string_view outcome,
-                            std::string_view cause) {
+void RequestSession::Finish(const ClientAnswer& answer,
+                            std::string_view outcome, std::string_view cause) {
   if (finished_) return;
   finished_ = true;
   const int status = answer.status;
   auto callback = std::exchange(options_.answer, nullptr);
-  if (callback) callback(std::move(answer));
+  if (callback) callback(answer);
   Log(status, outcome, cause);
   AbandonAttempts();
 }
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -41,7 +41,7 @@
 inline constexpr int kStatusUnavailable = 503;  // Has not run, and never will.
 inline constexpr int kStatusGatewayTimeout = 504;
 
-using AnswerCallback = std::function<void(ClientAnswer)>;
+using AnswerCallback = std::function<void(const ClientAnswer&)>;
 
 class RequestSession : public std::enable_shared_from_this<RequestSession> {
  public:
@@ -74,7 +74,7 @@
   virtual std::string LogDetails() const = 0;
 
   // Ends the session. `outcome` is complete, partial, refused or failed.
-  void Finish(ClientAnswer answer, std::string_view outcome,
+  void Finish(const ClientAnswer& answer, std::string_view outcome,
               std::string_view cause);
 
   AttemptPtr NewAttempt(TimePoint useful_until, bool keep_headers) const;
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -224,7 +224,7 @@
                     std::to_string(missing) + "\r\n" + names.request_id + ": " +
                     request().request_id + "\r\n";
   answer.body = MergeGreatestRecords(parts, spec().top_records);
-  Finish(std::move(answer), missing == 0 ? "complete" : "partial",
+  Finish(answer, missing == 0 ? "complete" : "partial",
          missing == 0 ? "" : "shards_missing");
 }
 
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -38,7 +38,7 @@
     std::int64_t refusals = 0;
     std::string signature;
     std::string records;
-    std::string_view cause = "";  // Of the last failure.
+    std::string_view cause;  // Of the last failure.
   };
 
   // Refusals that one shard bears; more say that it is overloaded.
--- a/lacewingknot/edge/timer_queue.h
+++ b/lacewingknot/edge/timer_queue.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "lacewingknot/base/clock.h"
@@ -31,7 +32,9 @@
   struct Id {
     TimePoint due{};
     std::uint64_t number = 0;
-    auto operator<=>(const Id&) const = default;
+    bool operator<(const Id& other) const {
+      return std::tie(due, number) < std::tie(other.due, other.number);
+    }
   };
 
   explicit TimerQueue(boost::asio::io_context& io) : timer_(io) {}
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -22,7 +22,7 @@
 void Upstream::Submit(AttemptPtr attempt) {
   const TimePoint now = BootClock::now();
   attempt->submitted_at = now;
-  if (!usable_) {
+  if (!usable()) {
     attempt->Finish({.end = AttemptEnd::kNotSent, .cause = "unusable"});
     return;
   }
@@ -220,6 +220,7 @@
       }
       return;
     case AttemptEnd::kRefused:
+      if (result.reply.status == kMisdirected) NoteMisdirected();
       failure_share_ += kFailureWeight * (1 - failure_share_);
       failure_at_ = now;
       return;
@@ -271,6 +272,22 @@
   backoff_until_ = {};
 }
 
+void Upstream::NoteMisdirected() {
+  if (misdirected_) return;
+  misdirected_ = true;
+  if (options_.on_belief) {
+    options_.on_belief(options_.record, "replaced", "misdirected");
+  }
+  FailQueue("misdirected");
+  CloseIdle("misdirected");
+  options_.timers->At(BootClock::now() + kMisdirectedTime,
+                      [weak = weak_from_this()] {
+                        if (const auto self = weak.lock()) {
+                          self->misdirected_ = false;
+                        }
+                      });
+}
+
 ReplicaLoad Upstream::Load(Duration typical, TimePoint now) const {
   ReplicaLoad load;
   load.slots = options_.record.slots;
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -63,7 +63,7 @@
   }
   // Whether new work may go here; false empties the queue.
   void set_usable(bool usable);
-  bool usable() const { return usable_; }
+  bool usable() const { return usable_ && !misdirected_; }
 
   // Closes idle connections and, as they end, busy ones.
   void Retire();
@@ -90,6 +90,9 @@
   // Backoff after consecutive failures, doubled up to the largest.
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(60);
   static constexpr Duration kLongestBackoff = std::chrono::milliseconds(1'000);
+  // Time for which an address is left alone after it answered as another
+  // upstream. The directory names a new one long before.
+  static constexpr Duration kMisdirectedTime = std::chrono::seconds(6);
   // Half-life of what is believed of an upstream that is not used.
   static constexpr double kForgetHalfLifeSeconds = 3.0;
 
@@ -105,6 +108,7 @@
   void NoteLatency(Duration latency, TimePoint now);
   void NoteFailure(std::string_view cause, TimePoint now);
   void NoteSuccess();
+  void NoteMisdirected();
   void CloseIdle(std::string_view cause);
   void FailQueue(std::string_view cause);
   void RemoveClosed();
@@ -113,6 +117,7 @@
   Options options_;
   bool usable_ = true;
   bool retired_ = false;
+  bool misdirected_ = false;  // Another upstream has the address.
   std::vector<ConnectionPtr> connections_;
   std::deque<AttemptPtr> queue_;
   bool dispatching_ = false;
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -103,10 +103,10 @@
   auto rest =
       std::make_shared<std::string>(request.head + varying + request.body);
   rest->erase(0, written);
-  WriteRest(std::move(rest));
+  WriteRest(rest);
 }
 
-void UpstreamConnection::WriteRest(std::shared_ptr<std::string> rest) {
+void UpstreamConnection::WriteRest(const std::shared_ptr<std::string>& rest) {
   writing_ = true;
   asio::async_write(
       socket_, asio::buffer(*rest),
@@ -200,7 +200,6 @@
   ++answers_;
   if (reply.idle_timeout) idle_timeout_ = reply.idle_timeout;
   AttemptResult result;
-  constexpr int kMisdirected = 421;
   const bool refused = reply.not_run || reply.status == kMisdirected;
   result.end = refused ? AttemptEnd::kRefused : AttemptEnd::kAnswered;
   // Bytes behind the answer, or an answer before the request was written,
--- a/lacewingknot/edge/upstream_connection.h
+++ b/lacewingknot/edge/upstream_connection.h
@@ -69,7 +69,7 @@
   static constexpr std::uint64_t kMaxAnswerBytes = 8 << 20;
 
   void OnConnected(boost::system::error_code error);
-  void WriteRest(std::shared_ptr<std::string> rest);
+  void WriteRest(const std::shared_ptr<std::string>& rest);
   void Read();
   void OnRead(boost::system::error_code error, std::size_t bytes);
   void Parse();
