--- /dev/null
+++ b/lacewingknot/edge/client_connection_test.cc
@@ -0,0 +1,135 @@
+// What clients may send, and what they get for the rest.
+
+#include "lacewingknot/edge/client_connection.h"
+
+#include "testing/edge_fixture.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::RawClient;
+
+class ClientConnectionTest : public testing::EdgeFixture {
+ protected:
+  void SetUp() override {
+    upstream_ = &AddUpstream("s", Answers("x"));
+    client_limits_ = {.header_bytes = 512,
+                      .body_bytes = 64,
+                      .header_timeout = milliseconds(150),
+                      .idle_timeout = milliseconds(300)};
+    Publish({PassRoute("s", Repeat::kAtMostOnce)});
+  }
+
+  // The status of the answer to `bytes`; empty if the connection just closes.
+  std::string StatusOf(std::string_view bytes) {
+    RawClient client(io_, server_.port());
+    client.Write(bytes);
+    RunUntil([&] {
+      return client.closed() ||
+             client.received().find("\r\n\r\n") != std::string::npos;
+    });
+    if (client.received().size() < 12) return "";
+    return client.received().substr(9, 3);
+  }
+
+  ScriptedUpstream* upstream_ = nullptr;
+};
+
+constexpr std::string_view kHead = "GET /p/1 HTTP/1.1\r\nHost: h.example\r\n";
+
+TEST_F(ClientConnectionTest, Request_Plain_IsAnswered) {
+  EXPECT_EQ(StatusOf(std::string(kHead) + "X-Id: a\r\n\r\n"), "200");
+}
+
+TEST_F(ClientConnectionTest, Request_InPieces_IsReadWhole) {
+  RawClient client(io_, server_.port());
+  const std::string request = std::string(kHead) + "X-Id: a\r\n\r\n";
+  for (char byte : request) {
+    client.Write(std::string_view(&byte, 1));
+    io_.poll();
+  }
+  RunUntil([&] { return !client.received().empty(); });
+  EXPECT_EQ(client.received().substr(9, 3), "200");
+}
+
+TEST_F(ClientConnectionTest, Requests_SentAhead_AreAnsweredInOrder) {
+  RawClient client(io_, server_.port());
+  client.Write(std::string(kHead) + "X-Id: first\r\n\r\n" + std::string(kHead) +
+               "X-Id: second\r\n\r\n");
+  RunUntil([&] {
+    return client.received().find("X-Id: second") != std::string::npos;
+  });
+  EXPECT_LT(client.received().find("X-Id: first"),
+            client.received().find("X-Id: second"));
+}
+
+TEST_F(ClientConnectionTest, Body_InChunks_IsPassedOnWhole) {
+  EXPECT_EQ(StatusOf("POST /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"
+                     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+            "200");
+  EXPECT_EQ(upstream_->seen.back().body, "abcde");
+}
+
+TEST_F(ClientConnectionTest, Headers_OfOneConnection_AreNotPassedOn) {
+  StatusOf(std::string(kHead) +
+           "X-Id: a\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+           "X-Expect: forged\r\nX-Kept: 2\r\n\r\n");
+  const auto& seen = upstream_->seen.back();
+  EXPECT_EQ(seen.header("X-Hop"), "");
+  EXPECT_EQ(seen.header("X-Kept"), "2");
+  EXPECT_EQ(seen.header("X-Expect"), upstream_->record.id);
+}
+
+TEST_F(ClientConnectionTest, Request_BeyondALimitOrBroken_IsRejected) {
+  const std::string long_value(600, 'v');
+  const struct {
+    std::string bytes, status;
+  } cases[] = {
+      {std::string(kHead) + "X-Long: " + long_value + "\r\n\r\n", "431"},
+      {"POST /p/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 65\r\n\r\n",
+       "413"},
+      {"no request\r\n\r\n", "400"},
+      {std::string(kHead) + "Host: other.example\r\n\r\n", "400"},
+      {std::string(kHead) + "X-Half: ", "408"},
+      {"GET /p/1 HTTP/1.1\r\nHost: other.example\r\n\r\n", "404"},
+      {"POST /p/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+  };
+  for (const auto& wrong : cases) {
+    EXPECT_EQ(StatusOf(wrong.bytes), wrong.status) << wrong.bytes.substr(0, 60);
+  }
+  EXPECT_EQ(upstream_->seen.size(), 0U);
+}
+
+TEST_F(ClientConnectionTest, Connection_Idle_IsClosedAfterItsTimeout) {
+  RawClient client(io_, server_.port());
+  RunUntil([&] { return client.closed(); });
+  EXPECT_EQ(client.received(), "");
+}
+
+TEST_F(ClientConnectionTest, Daemon_Stops_AnswersAndClosesIdleConnections) {
+  RawClient idle(io_, server_.port());
+  RawClient active(io_, server_.port());
+  io_.poll();
+  bool stopped = false;
+  server_.Drain([&] { stopped = true; });
+  active.Write(std::string(kHead) + "X-Id: a\r\n\r\n");
+  RunUntil([&] { return !active.received().empty(); });
+  EXPECT_NE(active.received().find("Connection: close"), std::string::npos);
+  RunUntil([&] { return stopped; });
+  EXPECT_EQ(server_.connections(), 0U);
+}
+
+class UnconfiguredEdgeTest : public testing::EdgeFixture {};
+
+TEST_F(UnconfiguredEdgeTest, Request_BeforeTheFirstRoutes_IsRefusedNot404) {
+  const HttpReply reply = Call("/p/1");
+  EXPECT_EQ(reply.status, kStatusUnavailable);
+  EXPECT_NE(reply.header("Retry-After"), "");
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/directory_state_test.cc
@@ -0,0 +1,118 @@
+#include "lacewingknot/edge/directory_state.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewingknot::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class DirectoryStateTest : public ::testing::Test {
+ protected:
+  static UpstreamRecord Record(const std::string& id) {
+    return {.id = id, .service = "s", .address = "10.0.0.1:1"};
+  }
+
+  void SetUp() override {
+    for (int i = 0; i < 10; ++i) {
+      state_.Put(Record("up-" + std::to_string(i)), ++revision_);
+    }
+    state_.OnSourceAnswered(revision_, now_);
+    state_.Advance(now_);
+  }
+
+  bool Knows(const std::string& id) {
+    state_.Advance(now_);
+    return state_.Snapshot().upstreams.count(id) == 1;
+  }
+
+  void Outage(Duration length) {
+    state_.OnSourceLost(now_);
+    now_ += length;
+    state_.OnSourceAnswered(revision_, now_);
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t revision_ = 0;
+  DirectoryState state_;
+};
+
+TEST_F(DirectoryStateTest, Entry_RemovedInQuietTimes_IsGoneAtOnce) {
+  state_.Remove("up-3", ++revision_, now_);
+  EXPECT_FALSE(Knows("up-3"));
+}
+
+TEST_F(DirectoryStateTest, Entry_ExpiredInAnOutage_IsHeldUntilItIsBack) {
+  Outage(seconds(5));
+  state_.Remove("up-3", ++revision_, now_);
+  EXPECT_TRUE(Knows("up-3"));
+  now_ += milliseconds(1'800);
+  state_.Put(Record("up-3"), ++revision_);
+  now_ += seconds(10);
+  EXPECT_TRUE(Knows("up-3"));
+}
+
+TEST_F(DirectoryStateTest, Entry_NotBackAfterAnOutage_IsGone) {
+  Outage(seconds(5));
+  state_.Remove("up-3", ++revision_, now_);
+  ASSERT_TRUE(state_.NextWake().has_value());
+  now_ = *state_.NextWake();
+  EXPECT_FALSE(Knows("up-3"));
+}
+
+// A connection that was cut for a moment counted as an outage, and an upstream
+// that left was used for longer than it served.
+TEST_F(DirectoryStateTest, Entry_RemovedAfterAMomentaryLoss_IsGoneAtOnce) {
+  Outage(milliseconds(200));
+  state_.Remove("up-3", ++revision_, now_);
+  EXPECT_FALSE(Knows("up-3"));
+}
+
+TEST_F(DirectoryStateTest, Entries_ManyRemovedTogether_AreHeld) {
+  for (int i = 0; i < 8; ++i) {
+    state_.Remove("up-" + std::to_string(i), ++revision_, now_);
+  }
+  EXPECT_TRUE(Knows("up-7"));
+  now_ += DirectoryState::kHoldAfterOutage;
+  EXPECT_FALSE(Knows("up-7"));
+}
+
+TEST_F(DirectoryStateTest, Change_OlderThanWhatIsKnown_IsIgnored) {
+  state_.Remove("up-3", 100, now_);
+  ASSERT_FALSE(Knows("up-3"));
+  state_.Put(Record("up-3"), 99);
+  EXPECT_FALSE(Knows("up-3"));
+  state_.Put(Record("up-3"), 101);
+  EXPECT_TRUE(Knows("up-3"));
+  state_.Remove("up-3", 100, now_);
+  EXPECT_TRUE(Knows("up-3"));
+}
+
+TEST_F(DirectoryStateTest, WholeReading_LacksAnEntry_RemovesIt) {
+  state_.KeepOnly(
+      {"up-0", "up-1", "up-2", "up-4", "up-5", "up-6", "up-7", "up-8", "up-9"},
+      revision_, now_);
+  EXPECT_FALSE(Knows("up-3"));
+  EXPECT_TRUE(Knows("up-4"));
+}
+
+TEST_F(DirectoryStateTest, Evacuation_OldNewsAfterItsEnd_DoesNotReturn) {
+  state_.Evacuate("regina", 50);
+  EXPECT_EQ(state_.Snapshot().evacuated.count("regina"), 1U);
+  state_.EndEvacuation("regina", 60);
+  state_.Evacuate("regina", 50);
+  EXPECT_TRUE(state_.Snapshot().evacuated.empty());
+}
+
+TEST_F(DirectoryStateTest, Record_SameContent_IsNothingNew) {
+  state_.Put(Record("up-3"), ++revision_);
+  EXPECT_FALSE(state_.Advance(now_));
+  UpstreamRecord draining = Record("up-3");
+  draining.draining = true;
+  state_.Put(draining, ++revision_);
+  EXPECT_TRUE(state_.Advance(now_));
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_server.h
+++ b/lacewingknot/edge/edge_server.h
@@ -6,6 +6,7 @@
 #define LACEWINGKNOT_EDGE_EDGE_SERVER_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
   // idle connections, waits for the last answers and calls `done` once.
   void Drain(std::function<void()> done);
 
+  // The port that it listens on.
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   std::size_t connections() const { return connections_.size(); }
 
  private:
--- /dev/null
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -0,0 +1,86 @@
+#include "lacewingknot/edge/edge_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace lacewingknot::edge {
+namespace {
+
+constexpr std::string_view kWhole = R"(
+vm = "front-1"
+data_centre = "regina"
+listen = "10.1.0.9:8104"
+readiness_listen = "10.1.0.9:8108"
+control_listen = "10.1.0.9:8106"
+metrics_listen = "10.1.0.9:9464"
+gossip_listen = "10.1.0.9:7380"
+peers = ["10.1.0.9:8106", "10.2.0.9:8106"]
+store = "10.200.1.7:8102"
+store_max_staleness_ms = 5000
+log_level = "warning"
+[extra_load]
+ratio = 0.2
+attempts = 52
+[stop]
+grace_seconds = 6
+)";
+
+class EdgeSettingsTest : public ::testing::Test {
+ protected:
+  // Faults of the whole file with `from` replaced by `to`.
+  static std::vector<SettingsFault> Faults(std::string_view from,
+                                           std::string_view to) {
+    std::string text(kWhole);
+    text.replace(text.find(from), from.size(), to);
+    return ParseEdgeSettings(text).faults;
+  }
+};
+
+TEST_F(EdgeSettingsTest, File_Whole_IsTaken) {
+  const auto parsed = ParseEdgeSettings(kWhole);
+  ASSERT_TRUE(parsed.faults.empty());
+  EXPECT_TRUE(parsed.ignored.empty());
+  EXPECT_EQ(parsed.settings.vm, "front-1");
+  EXPECT_EQ(parsed.settings.peers.size(), 2U);
+  EXPECT_EQ(parsed.settings.log_level, LogLevel::kWarning);
+  EXPECT_EQ(parsed.settings.stop_grace, std::chrono::seconds(6));
+  EXPECT_EQ(parsed.settings.store_max_staleness, std::chrono::seconds(5));
+  EXPECT_DOUBLE_EQ(parsed.settings.extra_attempts, 52);
+}
+
+TEST_F(EdgeSettingsTest, File_UnknownKey_IsTakenAndNamed) {
+  const auto parsed = ParseEdgeSettings("colour = 1\n" + std::string(kWhole));
+  EXPECT_TRUE(parsed.faults.empty());
+  ASSERT_EQ(parsed.ignored.size(), 1U);
+  EXPECT_EQ(parsed.ignored.front(), "colour");
+}
+
+TEST_F(EdgeSettingsTest, Key_Wrong_IsRefusedWithLineKeyAndAcceptedForm) {
+  const struct {
+    std::string_view from, to, key;
+  } cases[] = {
+      {"vm = \"front-1\"", "", "vm"},
+      {"\"front-1\"", "7", "vm"},
+      {"\"10.1.0.9:8104\"", "\"front\"", "listen"},
+      {"\"10.1.0.9:8104\"", "\"10.1.0.9:99999\"", "listen"},
+      {"[\"10.1.0.9:8106\",", "[5,", "peers"},
+      {"ratio = 0.2", "ratio = 2", "extra_load.ratio"},
+      {"attempts = 52", "attempts = \"many\"", "extra_load.attempts"},
+      {"grace_seconds = 6", "grace_seconds = 0", "stop.grace_seconds"},
+      {"\"warning\"", "\"loud\"", "log_level"},
+  };
+  for (const auto& wrong : cases) {
+    const auto faults = Faults(wrong.from, wrong.to);
+    ASSERT_EQ(faults.size(), 1U) << wrong.to;
+    EXPECT_EQ(faults.front().key, wrong.key);
+    EXPECT_FALSE(faults.front().accepted.empty());
+  }
+}
+
+TEST_F(EdgeSettingsTest, File_NotToml_IsRefusedWithItsLine) {
+  const auto parsed = ParseEdgeSettings("vm = \"a\"\nlisten = = 1\n");
+  ASSERT_EQ(parsed.faults.size(), 1U);
+  EXPECT_EQ(parsed.faults.front().line, 2U);
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/pass_session_test.cc
@@ -0,0 +1,262 @@
+// Requests that one upstream answers, through the whole edge.
+
+#include "lacewingknot/edge/pass_session.h"
+
+#include "testing/edge_fixture.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FakeConnection;
+using testing::FakeReply;
+using testing::FakeRequest;
+using testing::RawClient;
+
+using At = const std::shared_ptr<FakeConnection>&;
+
+class PassSessionTest : public testing::EdgeFixture {
+ protected:
+  void PublishPass(Repeat repeat) { Publish({PassRoute("s", repeat)}); }
+
+  std::size_t Seen() const {
+    std::size_t seen = 0;
+    for (const ScriptedUpstream& upstream : upstreams_) {
+      seen += upstream.seen.size();
+    }
+    return seen;
+  }
+
+  static Handler RefusesWith(int status) {
+    return [status](const FakeRequest&, At at) {
+      at->Reply({.status = status, .headers = {{"X-Not-Run", "1"}}});
+    };
+  }
+};
+
+TEST_F(PassSessionTest, Answer_Whole_GoesBackUnchanged) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, "forty birch");
+    reply.status = 203;
+    reply.headers.emplace_back("X-Other", "kept");
+    reply.headers.emplace_back("Connection", "close");
+    at->Reply(reply);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  const HttpReply reply = Call("/p/1?q=a%20b");
+  EXPECT_EQ(reply.status, 203);
+  EXPECT_EQ(reply.body, "forty birch");
+  EXPECT_EQ(reply.header("X-Signature"), "sig-fort");
+  EXPECT_EQ(reply.header("X-Other"), "kept");
+  EXPECT_EQ(reply.header("Connection"), "");
+}
+
+TEST_F(PassSessionTest, Request_PassedOn_CarriesIdDeadlineAndExpectation) {
+  auto& upstream = AddUpstream("s", Answers("x"));
+  PublishPass(Repeat::kAtMostOnce);
+  Call("/p/1?q=a%20b", "id-7", "a body");
+  ASSERT_EQ(upstream.seen.size(), 1U);
+  const FakeRequest& seen = upstream.seen.front();
+  EXPECT_EQ(seen.method, "POST");
+  EXPECT_EQ(seen.path, "/p/1");
+  EXPECT_EQ(seen.parameters.at("q"), "a%20b");
+  EXPECT_EQ(seen.body, "a body");
+  EXPECT_EQ(seen.header("X-Id"), "id-7");
+  EXPECT_EQ(seen.header("X-Expect"), upstream.record.id);
+  EXPECT_LE(std::stoi(seen.header("X-Left")), 1'500);
+  EXPECT_GT(std::stoi(seen.header("X-Left")), 1'000);
+}
+
+TEST_F(PassSessionTest, Request_UpstreamDidNotRunIt_IsTriedElsewhere) {
+  AddUpstream("s", RefusesWith(503));
+  AddUpstream("s", Answers("x"));
+  PublishPass(Repeat::kAtMostOnce);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Call("/p/1").status, 200);
+}
+
+TEST_F(PassSessionTest, Request_AtMostOnceAndAnswerLost_IsNotSentAgain) {
+  AddUpstream("s", [](const FakeRequest&, At at) { at->Close(); });
+  AddUpstream("s", [](const FakeRequest&, At at) { at->Close(); });
+  PublishPass(Repeat::kAtMostOnce);
+  // Never 503: that would say that it has not run.
+  EXPECT_EQ(Call("/p/1").status, kStatusBadGateway);
+  EXPECT_EQ(Seen(), 1U);
+}
+
+TEST_F(PassSessionTest, Request_IdempotentAndAnswerLost_IsSentAgain) {
+  AddUpstream("s", [](const FakeRequest&, At at) { at->Close(); });
+  AddUpstream("s", Answers("x"));
+  PublishPass(Repeat::kIdempotent);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Call("/p/1").status, 200);
+}
+
+TEST_F(PassSessionTest, Request_FailsEverywhere_RunsOnAtMostSoManyUpstreams) {
+  for (int i = 0; i < 4; ++i) {
+    AddUpstream("s", [](const FakeRequest&, At at) { at->Close(); });
+  }
+  PublishPass(Repeat::kIdempotent);
+  EXPECT_EQ(Call("/p/1").status, kStatusBadGateway);
+  EXPECT_EQ(Seen(), 2U);
+}
+
+TEST_F(PassSessionTest, Request_NoUpstream_IsRefusedAtOnceAsNotRun) {
+  PublishPass(Repeat::kAtMostOnce);
+  const HttpReply reply = Call("/p/1");
+  EXPECT_EQ(reply.status, kStatusUnavailable);
+  EXPECT_NE(reply.header("Retry-After"), "");
+}
+
+TEST_F(PassSessionTest, Upstream_DrainingOrEvacuated_GetsNothing) {
+  auto& draining = AddUpstream("s", Answers("x"));
+  auto& evacuated = AddUpstream("s", Answers("x"));
+  auto& serving = AddUpstream("s", Answers("x"));
+  draining.record.draining = true;
+  evacuated.record.data_centre = "there";
+  evacuated_.insert("there");
+  PublishPass(Repeat::kAtMostOnce);
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(Call("/p/1").status, 200);
+  EXPECT_EQ(draining.seen.size(), 0U);
+  EXPECT_EQ(evacuated.seen.size(), 0U);
+  EXPECT_EQ(serving.seen.size(), 6U);
+}
+
+// An address was used on, and each request there counted as an extra attempt
+// at the service that has it now.
+TEST_F(PassSessionTest, Upstream_AddressHasAnotherOne_IsLeftAlone) {
+  auto& replaced = AddUpstream("s", [](const FakeRequest&, At at) {
+    at->Reply({.status = kMisdirected});
+  });
+  AddUpstream("s", Answers("x"));
+  PublishPass(Repeat::kAtMostOnce);
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(Call("/p/1").status, 200);
+  EXPECT_LE(replaced.seen.size(), 1U);
+}
+
+TEST_F(PassSessionTest, Answer_CutShort_IsNotPassedOnAsWhole) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, "forty birch");
+    reply.truncate = 4;
+    at->Reply(reply);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  EXPECT_EQ(Call("/p/1").status, kStatusBadGateway);
+}
+
+TEST_F(PassSessionTest, Answer_WithoutLength_EndsWithItsConnection) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    at->ReplyRaw("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: " +
+                     request.header("X-Id") + "\r\n\r\nwhole",
+                 true);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  const HttpReply reply = Call("/p/1");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, "whole");
+}
+
+TEST_F(PassSessionTest, Answer_OfAnotherRequest_IsDropped) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    at->ReplyRaw(
+        "HTTP/1.1 200 OK\r\nX-Signature: a\r\nX-Id: other\r\n"
+        "Content-Length: 3\r\n\r\nbad"
+        "HTTP/1.1 200 OK\r\nX-Signature: b\r\nX-Id: " +
+            request.header("X-Id") + "\r\nContent-Length: 4\r\n\r\ngood",
+        false);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  EXPECT_EQ(Call("/p/1").body, "good");
+}
+
+TEST_F(PassSessionTest, Answer_Doubled_SecondReachesNobody) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nX-Signature: a\r\nX-Id: " + request.header("X-Id") +
+        "\r\nContent-Length: 4\r\n\r\n" + request.header("X-Id").substr(0, 4);
+    at->ReplyRaw(answer + answer, false);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  for (const std::string id : {"aaaa", "bbbb", "cccc"}) {
+    EXPECT_EQ(Call("/p/1", id).body, id);
+  }
+}
+
+TEST_F(PassSessionTest, Answer_Garbage_IsA502) {
+  AddUpstream("s", [](const FakeRequest&, At at) {
+    at->ReplyRaw("no answer at all\r\n\r\n", false);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  EXPECT_EQ(Call("/p/1").status, kStatusBadGateway);
+}
+
+TEST_F(PassSessionTest, Success_UnsignedOrForNobody_IsNotPassedOn) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, "x");
+    reply.headers.pop_back();
+    at->Reply(reply);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  EXPECT_EQ(Call("/p/1").status, kStatusBadGateway);
+}
+
+TEST_F(PassSessionTest, Failure_OfTheUpstream_GoesBackAsItIs) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, "broken");
+    reply.status = 500;
+    at->Reply(reply);
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  const HttpReply reply = Call("/p/1");
+  EXPECT_EQ(reply.status, 500);
+  EXPECT_EQ(reply.header("X-Signature"), "sig-brok");
+}
+
+TEST_F(PassSessionTest, Upstream_Silent_RequestEndsByItsRoutesTimeout) {
+  AddUpstream("s", Silent());
+  RouteSpec route = PassRoute("s", Repeat::kAtMostOnce);
+  route.timeout = milliseconds(150);
+  Publish({route});
+  EXPECT_EQ(Call("/p/1").status, kStatusGatewayTimeout);
+  EXPECT_EQ(Seen(), 1U);
+}
+
+TEST_F(PassSessionTest, Client_Leaves_WorkForItIsCancelled) {
+  bool gone = false;
+  auto& upstream = AddUpstream("s", [&](const FakeRequest&, At at) {
+    at->set_on_gone([&] { gone = true; });
+  });
+  PublishPass(Repeat::kAtMostOnce);
+  RawClient client(io_, server_.port());
+  client.Write("GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n\r\n");
+  RunUntil([&] { return upstream.seen.size() == 1; });
+  client.Close();
+  RunUntil([&] { return gone; });
+}
+
+// Closing a connection that had idled too long re-entered the dispatch that
+// was choosing one; the process crashed.
+TEST_F(PassSessionTest, Connections_IdleTooLong_AreReplacedUnderLoad) {
+  AddUpstream("s", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, "x");
+    reply.headers.emplace_back("Keep-Alive", "timeout=1");
+    at->Reply(reply);
+  });
+  service_limits_["s"].max_connections = 80;
+  PublishPass(Repeat::kIdempotent);
+  for (int burst = 0; burst < 3; ++burst) {
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 8; ++i) {
+      clients.push_back(std::make_unique<RawClient>(io_, server_.port()));
+      clients.back()->Write(
+          "GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n\r\n");
+    }
+    RunUntil([&] {
+      return std::all_of(clients.begin(), clients.end(), [](const auto& one) {
+        return one->received().find("200") != std::string::npos;
+      });
+    });
+    RunFor(milliseconds(500));
+  }
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/peer_gossip_test.cc
@@ -0,0 +1,85 @@
+#include "lacewingknot/edge/peer_gossip.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lacewingknot::edge {
+namespace {
+
+TEST(GossipMessageTest, Message_EncodedAndDecoded_IsTheSame) {
+  const GossipMessage message{.members = {{.address = "10.0.0.1:7380",
+                                           .incarnation = 5,
+                                           .heartbeat = 9},
+                                          {.address = "10.0.0.2:7380"}},
+                              .fleet_size = 75,
+                              .store_revision = 412};
+  const auto decoded = DecodeGossip(EncodeGossip(message));
+  ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+  EXPECT_EQ(decoded.value().members.size(), 2U);
+  EXPECT_EQ(decoded.value().members[0].heartbeat, 9U);
+  EXPECT_EQ(decoded.value().fleet_size, 75U);
+  EXPECT_EQ(decoded.value().store_revision, 412U);
+}
+
+RC_GTEST_PROP(GossipMessageProperty, Message_AnyBytes_IsDecodedOrRefused,
+              (const std::string& bytes)) {
+  (void)DecodeGossip(bytes);
+}
+
+class PeerGossipTest : public ::testing::Test {
+ protected:
+  struct Daemon {
+    std::unique_ptr<PeerGossip> gossip;
+    std::size_t fleet_size = 0;
+    std::uint64_t revision_heard = 0;
+  };
+
+  // Ports from this up; nothing else in the tests uses them.
+  static constexpr int kFirstPort = 27'380;
+
+  static std::string Address(int number) {
+    return "127.0.0.1:" + std::to_string(kFirstPort + number);
+  }
+
+  void Add(int number) {
+    Daemon& daemon = daemons_[number];
+    daemon.gossip = std::make_unique<PeerGossip>(
+        io_, PeerGossip::Options{
+                 .listen = Address(number),
+                 .seeds = {Address(0)},
+                 .incarnation = 1,
+                 .random_seed = static_cast<std::uint64_t>(number),
+                 .on_fleet_size =
+                     [&daemon](std::size_t size) { daemon.fleet_size = size; },
+                 .on_store_revision =
+                     [&daemon](std::uint64_t revision) {
+                       daemon.revision_heard = revision;
+                     }});
+    ASSERT_TRUE(daemon.gossip->Start().has_value());
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint end = BootClock::now() + std::chrono::seconds(20);
+    while (!done()) {
+      ASSERT_LT(BootClock::now(), end);
+      io_.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  boost::asio::io_context io_;
+  std::map<int, Daemon> daemons_;
+};
+
+TEST_F(PeerGossipTest, Daemons_KnowOneSeed_LearnOfEachOtherAndRevisions) {
+  for (int i = 0; i < 4; ++i) Add(i);
+  daemons_[2].gossip->set_store_revision(412);
+  RunUntil([&] {
+    return std::all_of(daemons_.begin(), daemons_.end(), [](const auto& entry) {
+      return entry.second.fleet_size == 4 &&
+             (entry.first == 2 || entry.second.revision_heard == 412);
+    });
+  });
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -0,0 +1,152 @@
+// Requests over many shards, through the whole edge.
+
+#include "lacewingknot/edge/scatter_session.h"
+
+#include "testing/edge_fixture.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FakeConnection;
+using testing::FakeReply;
+using testing::FakeRequest;
+
+using At = const std::shared_ptr<FakeConnection>&;
+
+std::string Record(char lead) {
+  return std::string(1, lead) + "123456789abcdef";
+}
+
+class ScatterSessionTest : public testing::EdgeFixture {};
+
+TEST_F(ScatterSessionTest, Shards_AllAnswer_GreatestRecordsComeFirst) {
+  AddUpstream("a", Answers(Record('k') + Record('b')));
+  AddUpstream("b", Answers(Record('z') + Record('c')));
+  Publish({ScatterRoute({"a", "b"})});
+  const HttpReply reply = Call("/s/1");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, Record('z') + Record('k') + Record('c'));
+  EXPECT_EQ(reply.header("X-Parts"), "sig-k123, sig-z123");
+  EXPECT_EQ(reply.header("X-Missing"), "0");
+}
+
+TEST_F(ScatterSessionTest, Shard_Silent_AnswerComesWithoutItAndSaysSo) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", Silent());
+  Publish({ScatterRoute({"a", "b"})});
+  const HttpReply reply = Call("/s/1");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, Record('k'));
+  EXPECT_EQ(reply.header("X-Parts"), "sig-k123");
+  EXPECT_EQ(reply.header("X-Missing"), "1");
+}
+
+TEST_F(ScatterSessionTest, Shard_WithoutUpstream_IsNotWaitedFor) {
+  AddUpstream("a", Answers(Record('k')));
+  RouteSpec route = ScatterRoute({"a", "b"});
+  route.target_latency = std::chrono::seconds(60);
+  Publish({route});
+  EXPECT_EQ(Call("/s/1").header("X-Missing"), "1");
+}
+
+TEST_F(ScatterSessionTest, Query_LeastShareOutOfReach_IsRefusedAsNotRun) {
+  auto& upstream = AddUpstream("a", Answers(Record('k')));
+  Publish({ScatterRoute({"a", "b", "c"})});
+  const HttpReply reply = Call("/s/1");
+  EXPECT_EQ(reply.status, kStatusUnavailable);
+  EXPECT_NE(reply.header("Retry-After"), "");
+  EXPECT_EQ(upstream.seen.size(), 0U);
+}
+
+TEST_F(ScatterSessionTest, Replica_Silent_OtherOneIsAskedAndAnswerIsWhole) {
+  AddUpstream("a", Silent());
+  AddUpstream("a", Answers(Record('k')));
+  RouteSpec route = ScatterRoute({"a"});
+  Publish({route});
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Call("/s/1", "id-" + std::to_string(i)).header("X-Missing"), "0");
+  }
+}
+
+TEST_F(ScatterSessionTest, Failure_Signed_IsNotAPart) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, Record('z'));
+    reply.status = 500;
+    at->Reply(reply);
+  });
+  Publish({ScatterRoute({"a", "b"})});
+  const HttpReply reply = Call("/s/1");
+  EXPECT_EQ(reply.body, Record('k'));
+  EXPECT_EQ(reply.header("X-Missing"), "1");
+}
+
+TEST_F(ScatterSessionTest, Part_OfAnotherRequest_IsNotMerged) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", [](const FakeRequest&, At at) {
+    at->Reply({.headers = {{"X-Id", "other"}, {"X-Signature", "bad"}},
+               .body = Record('z')});
+  });
+  Publish({ScatterRoute({"a", "b"})});
+  EXPECT_EQ(Call("/s/1").header("X-Parts"), "sig-k123");
+}
+
+TEST_F(ScatterSessionTest, Shard_RefusesEverywhere_IsAskedABoundedNumber) {
+  AddUpstream("a", Answers(Record('k')));
+  std::vector<ScriptedUpstream*> refusing;
+  for (int i = 0; i < 8; ++i) {
+    refusing.push_back(&AddUpstream("b", [](const FakeRequest&, At at) {
+      at->Reply({.status = 503, .headers = {{"X-Not-Run", "1"}}});
+    }));
+  }
+  Publish({ScatterRoute({"a", "b"})});
+  EXPECT_EQ(Call("/s/1").header("X-Missing"), "1");
+  std::size_t asked = 0;
+  for (const auto* upstream : refusing) asked += upstream->seen.size();
+  EXPECT_LE(asked, 4U);
+}
+
+TEST_F(ScatterSessionTest, ExtraAttempts_ManySlowQueries_StayInTheBudget) {
+  auto& slow = AddUpstream("a", Silent());
+  auto& other = AddUpstream("a", Silent());
+  RouteSpec route = ScatterRoute({"a"});
+  route.timeout = milliseconds(200);
+  route.target_latency = milliseconds(60);
+  service_limits_["a"].max_connections = 400;
+  Publish({route});
+  constexpr int kQueries = 30;
+  for (int i = 0; i < kQueries; ++i) {
+    EXPECT_EQ(Call("/s/1", "id-" + std::to_string(i)).status,
+              kStatusGatewayTimeout);
+  }
+  // A fifth of the first attempts, and this daemon's part of 100.
+  EXPECT_LE(slow.seen.size() + other.seen.size(),
+            kQueries + kQueries / 5 + 100 / 8);
+}
+
+TEST_F(ScatterSessionTest, Routes_ChangeMeanwhile_AnswerIsOfOneVersion) {
+  std::shared_ptr<FakeConnection> held;
+  FakeRequest asked;
+  AddUpstream("a", [&](FakeRequest request, At at) {
+    asked = std::move(request);
+    held = at;
+  });
+  AddUpstream("b", Answers(Record('b')));
+  AddUpstream("c", Answers(Record('c')));
+  RouteSpec route = ScatterRoute({"a", "b"});
+  route.target_latency = milliseconds(1'500);
+  Publish({route});
+  std::string body;
+  testing::RawClient client(io_, server_.port());
+  client.Write("GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: q\r\n\r\n");
+  RunUntil([&] { return held != nullptr; });
+  Publish({ScatterRoute({"c"})});
+  held->Reply(Answer(asked, Record('a')));
+  RunUntil([&] { return !client.received().empty(); });
+  EXPECT_NE(client.received().find("X-Parts: sig-a123, sig-b123"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- a/testing/fake_http.cc
+++ b/testing/fake_http.cc
@@ -105,6 +105,21 @@
       });
 }
 
+void FakeConnection::ReplyRaw(const std::string& bytes, bool close) {
+  if (silent_ || !socket_.is_open()) return;
+  on_gone_ = nullptr;
+  auto kept = std::make_shared<std::string>(bytes);
+  asio::async_write(
+      socket_, asio::buffer(*kept),
+      [self = shared_from_this(), kept, close](error_code error, std::size_t) {
+        if (error || close) {
+          self->Close();
+        } else {
+          self->Read();
+        }
+      });
+}
+
 void FakeConnection::Close() {
   error_code ignored;
   socket_.close(ignored);
--- a/testing/fake_http.h
+++ b/testing/fake_http.h
@@ -47,6 +47,8 @@
   explicit FakeConnection(boost::asio::ip::tcp::socket socket);
 
   void Reply(const FakeReply& reply);
+  // Writes `bytes` as they are; `close` ends the connection behind them.
+  void ReplyRaw(const std::string& bytes, bool close);
   void Close();
   // Called when the other end goes away while a request is being served.
   void set_on_gone(std::function<void()> on_gone);
