--- a/testing/fake_http.cc
+++ b/testing/fake_http.cc
@@ -55,6 +55,8 @@
   http::async_read(socket_, buffer_, request_,
                    [self = shared_from_this()](error_code error, std::size_t) {
                      if (self->silent_) return;
+                     // Closed here after the read had completed.
+                     if (!self->handler_) return;
                      if (error) {
                        self->Close();
                        return;
