--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -48,8 +48,8 @@
 ServicePtr EdgeCore::ServiceNamed(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
-  service = std::make_shared<Service>(Service::Options{
-      .name = name, .extra_load = {.fraction = 0, .burst = 1}});
+  service = std::make_shared<Service>(
+      Service::Options{.name = name, .extra_load = {}});
   ApplyShares(*service);
   return service;
 }
@@ -57,10 +57,10 @@
 void EdgeCore::ApplyShares(Service& service) {
   const auto fleet = static_cast<double>(fleet_size_);
   service.set_extra_load(
-      {.fraction = options_.extra_ratio * kRatioUsed,
+      {.ratio = options_.extra_ratio * kRatioUsed,
        // Half of the fixed part, so that daemons which restart or count the
        // fleet differently keep the sum below the whole.
-       .burst = std::max(1.0, options_.extra_attempts / 2 / fleet)});
+       .fixed = std::max(1.0, options_.extra_attempts / 2 / fleet)});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
   const auto quota =
       std::max<std::int64_t>(1, service.limits().max_connections /
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -13,7 +13,7 @@
 
 void PassSession::Start() {
   service_ = route().services[route().turns->Next()];
-  service_->OnFirstAttempt();
+  service_->OnFirstAttempt(started_at());
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   deadline_timer_ =
       core().timers().At(deadline(), [self] { self->OnDeadline(); });
@@ -24,7 +24,8 @@
   UpstreamPtr upstream = service_->Choose(tried_, false, now);
   if (!upstream) upstream = service_->Choose(tried_, true, now);
   if (!upstream) return false;
-  if (kind == AttemptKind::kRetry && !service_->TrySpendExtra()) {
+  if (kind == AttemptKind::kRetry &&
+      !service_->TrySpendExtra(ExtraNeed::kRetry, now)) {
     core().metrics().OnHedgeDenied("budget");
     last_cause_ = "no_budget";
     return false;
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -17,6 +17,8 @@
 constexpr int kSecondHedgeLook = 1;
 // When a client that was refused for want of replicas may come back.
 constexpr Duration kReplicaRetryAfter = std::chrono::milliseconds(300);
+// Requests with an objective up to this cannot wait for a slow attempt.
+constexpr Duration kUrgentObjective = std::chrono::milliseconds(80);
 // Shards named in one log line.
 constexpr std::size_t kMaxLoggedShards = 6;
 
@@ -58,7 +60,7 @@
   placing_ = true;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     if (shards_[i].state != ShardState::kWaiting) continue;
-    route().services[i]->OnFirstAttempt();
+    route().services[i]->OnFirstAttempt(now);
     if (!Place(i, AttemptKind::kFirst, now)) {
       shards_[i].state = ShardState::kLost;
       shards_[i].cause = "no_replica_placeable";
@@ -77,6 +79,12 @@
   Judge(now);
 }
 
+ExtraNeed ScatterSession::NeedOf(AttemptKind kind) const {
+  if (kind == AttemptKind::kRetry) return ExtraNeed::kRetry;
+  return spec().target_latency <= kUrgentObjective ? ExtraNeed::kUrgentHedge
+                                                   : ExtraNeed::kHedge;
+}
+
 bool ScatterSession::Place(std::size_t index, AttemptKind kind, TimePoint now) {
   Shard& shard = shards_[index];
   Service& service = *route().services[index];
@@ -86,7 +94,8 @@
     upstream = service.Choose(shard.tried, true, now);
   }
   if (!upstream) return false;
-  if (kind != AttemptKind::kFirst && !service.TrySpendExtra()) {
+  if (kind != AttemptKind::kFirst &&
+      !service.TrySpendExtra(NeedOf(kind), now)) {
     ++denied_;
     core().metrics().OnHedgeDenied("budget");
     return false;
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -47,6 +47,7 @@
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
+  ExtraNeed NeedOf(AttemptKind kind) const;
   // False if no replica can be asked.
   bool Place(std::size_t index, AttemptKind kind, TimePoint now);
   void OnResult(std::size_t index, const AttemptPtr& attempt, AttemptKind kind,
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -14,7 +14,7 @@
 #include "lacewingknot/edge/routing_table.h"
 #include "lacewingknot/edge/upstream.h"
 #include "lacewingknot/policy/cold_gate.h"
-#include "lacewingknot/policy/extra_load.h"
+#include "lacewingknot/policy/extra_window.h"
 #include "lacewingknot/policy/replica_choice.h"
 
 namespace lacewingknot::edge {
@@ -23,7 +23,7 @@
  public:
   struct Options {
     std::string name;
-    ExtraLoadBudget::Limits extra_load;
+    ExtraWindow::Limits extra_load;
   };
 
   explicit Service(Options options)
@@ -39,7 +39,7 @@
     cold_share_ = requests_per_second;
   }
 
-  void set_extra_load(ExtraLoadBudget::Limits limits) {
+  void set_extra_load(ExtraWindow::Limits limits) {
     budget_.set_limits(limits);
   }
 
@@ -62,9 +62,11 @@
   bool Suspects(const UpstreamPtr& upstream, TimePoint now) const;
 
   // Counts first attempts, which earn the budget for extra ones.
-  void OnFirstAttempt() { budget_.OnFirstAttempts(1); }
-  // Takes one extra attempt from the budget; false if it is spent.
-  bool TrySpendExtra() { return budget_.TrySpend(); }
+  void OnFirstAttempt(TimePoint now) { budget_.OnFirstAttempt(now); }
+  // Takes one extra attempt from the budget; false if `need` may not have it.
+  bool TrySpendExtra(ExtraNeed need, TimePoint now) {
+    return budget_.TrySpend(need, now);
+  }
 
   void NoteLatency(Duration latency);
 
@@ -76,7 +78,7 @@
   double cold_share_ = 0;
   std::vector<UpstreamPtr> upstreams_;
   std::map<const Upstream*, ColdGate> cold_gates_;
-  ExtraLoadBudget budget_;
+  ExtraWindow budget_;
   ReplicaChoiceOptions choice_;
   Duration typical_ = std::chrono::milliseconds(20);
   std::size_t rotation_ = 0;
--- /dev/null
+++ b/lacewingknot/policy/extra_window_test.cc
@@ -0,0 +1,115 @@
+#include "lacewingknot/policy/extra_window.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <vector>
+
+#include "lacewingknot/policy/extra_load.h"
+
+namespace lacewingknot {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ExtraWindowTest : public ::testing::Test {
+ protected:
+  TimePoint now_{std::chrono::hours(1)};
+  ExtraWindow window_{{.ratio = 0.2, .fixed = 3}};
+};
+
+TEST_F(ExtraWindowTest, Quiet_Seconds_AreSavedForTheBadOne) {
+  for (int i = 0; i < 150; ++i) {
+    window_.OnFirstAttempt(now_ += milliseconds(60));
+  }
+  int spent = 0;
+  while (window_.TrySpend(ExtraNeed::kRetry, now_)) ++spent;
+  EXPECT_EQ(spent, 33);
+}
+
+TEST_F(ExtraWindowTest, Hedges_SpentTheirPart_RetriesStillHaveSome) {
+  for (int i = 0; i < 100; ++i) window_.OnFirstAttempt(now_);
+  while (window_.TrySpend(ExtraNeed::kHedge, now_)) continue;
+  EXPECT_TRUE(window_.TrySpend(ExtraNeed::kUrgentHedge, now_));
+  while (window_.TrySpend(ExtraNeed::kUrgentHedge, now_)) continue;
+  EXPECT_TRUE(window_.TrySpend(ExtraNeed::kRetry, now_));
+}
+
+TEST_F(ExtraWindowTest, Spent_LongAgo_IsForgotten) {
+  while (window_.TrySpend(ExtraNeed::kRetry, now_)) continue;
+  EXPECT_FALSE(window_.TrySpend(ExtraNeed::kRetry, now_ + seconds(9)));
+  EXPECT_TRUE(window_.TrySpend(ExtraNeed::kRetry, now_ + milliseconds(10'600)));
+}
+
+// The promise of the budget, for any traffic and every window.
+RC_GTEST_PROP(ExtraWindowProperty, Spent_AnyTraffic_StaysWithinEveryWindow,
+              ()) {
+  ExtraWindow window({.ratio = 0.2, .fixed = 2});
+  TimePoint now(std::chrono::hours(1));
+  std::deque<TimePoint> extra;
+  std::vector<TimePoint> first;
+  const auto gaps =
+      *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 120));
+  for (const int gap : gaps) {
+    now += milliseconds(gap);
+    window.OnFirstAttempt(now);
+    first.push_back(now);
+    while (window.TrySpend(ExtraNeed::kRetry, now)) extra.push_back(now);
+    const TimePoint begin = now - seconds(10);
+    while (!extra.empty() && extra.front() < begin) extra.pop_front();
+    const auto recent = std::count_if(first.begin(), first.end(),
+                                      [&](TimePoint at) { return at > begin; });
+    RC_ASSERT(static_cast<double>(extra.size()) <=
+              0.2 * static_cast<double>(recent) + 2.0);
+  }
+}
+
+// Half of the replicas of a shard refuse 60% of their requests for two seconds,
+// after eight quiet ones. Counts queries whose shard is lost.
+TEST(ExtraBudgetReplayTest, Replicas_RefuseAtOnce_WindowLosesFewerShards) {
+  struct Outcome {
+    int lost = 0;
+    int extra = 0;
+  };
+  const auto replay = [](const std::function<void(TimePoint)>& on_first,
+                         const std::function<bool(TimePoint)>& try_spend) {
+    Outcome outcome;
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<double> chance(0, 1);
+    TimePoint now(std::chrono::hours(1));
+    constexpr Duration kGap = milliseconds(66);  // 15 queries a second.
+    for (const TimePoint end = now + seconds(10); now < end; now += kGap) {
+      on_first(now);
+      const bool bad = end - now < seconds(2);
+      // A query asks either replica; only one of them refuses.
+      const bool refused = bad && chance(random) < 0.5 && chance(random) < 0.6;
+      if (!refused) continue;
+      if (try_spend(now)) {
+        ++outcome.extra;
+      } else {
+        ++outcome.lost;
+      }
+    }
+    return outcome;
+  };
+  ExtraLoadBudget bucket({.fraction = 0.17, .burst = 3.25});
+  const Outcome before = replay([&](TimePoint) { bucket.OnFirstAttempts(1); },
+                                [&](TimePoint) { return bucket.TrySpend(); });
+  ExtraWindow window({.ratio = 0.17, .fixed = 3.25});
+  const Outcome after = replay(
+      [&](TimePoint now) { window.OnFirstAttempt(now); },
+      [&](TimePoint now) { return window.TrySpend(ExtraNeed::kRetry, now); });
+  std::cout << "token bucket: lost " << before.lost << ", extra "
+            << before.extra << "; sliding window: lost " << after.lost
+            << ", extra " << after.extra << "\n";
+  EXPECT_GT(before.lost, 0);
+  EXPECT_EQ(after.lost, 0);
+}
+
+}  // namespace
+}  // namespace lacewingknot
