Large fleets: a subset of the replicas, warm connections, lag-aware answers

Causes: budgets of extra attempts were split 75 ways with half unused (8 hedges denied a partial answer); partial answers left at the objective less the network's time, though a machine of 0.12 core runs timers late; 6602 connections over the upstreams' limits. Now 0.85 of the fixed part is used and a new process earns it over one window; the answer leaves earlier by twice the lag of timers; where the fleet is larger than an upstream's limit each daemon uses the local replica and some others by hash; a connection to the first replica is opened ahead.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -10,12 +10,12 @@
 namespace {
 
 // Attempts slower than this share of recent ones are hedged.
-constexpr double kHedgeQuantile = 0.9;
+constexpr double kHedgeQuantile = 0.95;
 // Samples between two looks at the quantile.
 constexpr std::size_t kSamplesPerUpdate = 100;
 // Bounds of the hedge delay, as shares of the route's objective.
 constexpr double kLeastHedgeShare = 0.15;
-constexpr double kMostHedgeShare = 0.40;
+constexpr double kMostHedgeShare = 0.50;
 
 Duration Share(Duration duration, double share) {
   return std::chrono::duration_cast<Duration>(duration * share);
@@ -43,13 +43,18 @@
 }
 
 EdgeCore::EdgeCore(Options options)
-    : options_(std::move(options)), timers_(*options_.io) {}
+    : options_(std::move(options)),
+      timers_(*options_.io),
+      started_at_(BootClock::now()) {}
 
 ServicePtr EdgeCore::ServiceNamed(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
-  service = std::make_shared<Service>(
-      Service::Options{.name = name, .extra_load = {}});
+  service =
+      std::make_shared<Service>(Service::Options{.name = name,
+                                                 .extra_load = {},
+                                                 .started_at = started_at_,
+                                                 .vm = options_.vm});
   ApplyShares(*service);
   return service;
 }
@@ -58,9 +63,7 @@
   const auto fleet = static_cast<double>(fleet_size_);
   service.set_extra_load(
       {.ratio = options_.extra_ratio * kRatioUsed,
-       // Half of the fixed part, so that daemons which restart or count the
-       // fleet differently keep the sum below the whole.
-       .fixed = std::max(1.0, options_.extra_attempts / 2 / fleet)});
+       .fixed = options_.extra_attempts * kFixedUsed / fleet});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
   const auto quota =
       std::max<std::int64_t>(1, service.limits().max_connections /
@@ -68,6 +71,12 @@
   for (const UpstreamPtr& upstream : service.upstreams()) {
     upstream->set_connection_quota(quota);
   }
+  // Replicas that this daemon may connect to, so that all daemons together
+  // keep to the limit of each.
+  const double replicas = static_cast<double>(service.upstreams().size());
+  service.set_subset(static_cast<std::size_t>(
+      std::max(1.0, static_cast<double>(service.limits().max_connections) *
+                        replicas / fleet)));
 }
 
 void EdgeCore::ApplyRouting(const std::shared_ptr<const RoutingTable>& table) {
@@ -108,6 +117,23 @@
   for (const auto& [name, service] : services_) ApplyShares(*service);
 }
 
+void EdgeCore::StartWarming() { Warm(); }
+
+void EdgeCore::Warm() {
+  const TimePoint now = BootClock::now();
+  std::size_t opened = 0;
+  if (routes_) {
+    for (const BoundRoute& route : routes_->routes) {
+      if (!route.spec->is_scatter()) continue;
+      for (const ServicePtr& service : route.services) {
+        if (opened >= kWarmAtOnce) break;
+        if (service->WarmUp(now)) ++opened;
+      }
+    }
+  }
+  timers_.At(now + kWarmInterval, [this] { Warm(); });
+}
+
 void EdgeCore::AddUpstream(const UpstreamRecord& record) {
   const auto endpoint = ParseEndpoint(record.address);
   if (!endpoint) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -64,6 +64,7 @@
     boost::asio::io_context* io = nullptr;
     const HeaderNames* names = nullptr;
     EdgeMetrics* metrics = nullptr;
+    std::string vm;
     std::string data_centre;
     // Extra attempts of the whole fleet at one service: `extra_ratio` of its
     // requests and `extra_attempts` in a window.
@@ -75,6 +76,8 @@
 
   void ApplyRouting(const std::shared_ptr<const RoutingTable>& table);
   void ApplyDirectory(std::shared_ptr<const Directory> directory);
+  // Keeps a connection open to the first replica of every shard from now on.
+  void StartWarming();
   // Daemons believed to be alive; limits of the fleet are divided by it.
   void set_fleet_size(std::size_t size);
 
@@ -88,13 +91,20 @@
   EdgeMetrics& metrics() { return *options_.metrics; }
 
  private:
-  // Part of the fleet's extra attempts that is spent on the ratio; the rest
-  // covers daemons that disagree about the fleet.
+  // Parts of the fleet's extra attempts that are used; the rest covers daemons
+  // that disagree about the fleet, and steps of the window.
   static constexpr double kRatioUsed = 0.85;
+  static constexpr double kFixedUsed = 0.85;
   // Least number of daemons assumed, for those that peers have not told of yet
   // and for VMs that may be added.
   static constexpr std::size_t kLeastFleet = 8;
 
+  // Pause between two looks at the connections, and the most that are opened
+  // at one look: opening costs the upstream a slot for a moment.
+  static constexpr Duration kWarmInterval = std::chrono::milliseconds(250);
+  static constexpr std::size_t kWarmAtOnce = 16;
+
+  void Warm();
   ServicePtr ServiceNamed(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
   void RemoveUpstream(const std::string& id);
@@ -103,6 +113,7 @@
 
   Options options_;
   TimerQueue timers_;
+  TimePoint started_at_;
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -18,6 +18,7 @@
       core_({.io = &traffic_io_,
              .names = options_.names,
              .metrics = &metrics_,
+             .vm = options_.settings.vm,
              .data_centre = options_.settings.data_centre,
              .extra_ratio = options_.settings.extra_ratio,
              .extra_attempts = options_.settings.extra_attempts}),
@@ -61,6 +62,7 @@
       io->run();
     }).detach();
   }
+  Post([this] { core_.StartWarming(); });
   LogEvent(Event::kDaemonStarted, {{"vm", settings.vm},
                                    {"data_centre", settings.data_centre},
                                    {"listen", settings.listen},
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -13,6 +13,11 @@
 constexpr double kUsefulObjectives = 2.5;
 // Our own delay between deciding to answer and sending.
 constexpr Duration kSendingMargin = std::chrono::milliseconds(3);
+// Waits for the processor between a client's sending and its answer: before
+// reading, and before the decision to answer.
+constexpr int kLagsOnTheWay = 2;
+// Part of the objective that is given up for them at the most.
+constexpr int kLargestLagShare = 4;
 // Second look for hedges, in hedge delays after the first.
 constexpr int kSecondHedgeLook = 1;
 // When a client that was refused for want of replicas may come back.
@@ -26,8 +31,12 @@
 
 ScatterSession::ScatterSession(Options options)
     : RequestSession(std::move(options)), shards_(route().services.size()) {
-  answer_by_ = std::min(deadline(), started_at() + spec().target_latency -
-                                        client_round_trip() - kSendingMargin);
+  // The request waited for the processor like a timer, and so will the answer.
+  const Duration lag = std::min(core().timers().lag() * kLagsOnTheWay,
+                                spec().target_latency / kLargestLagShare);
+  answer_by_ =
+      std::min(deadline(), started_at() + spec().target_latency -
+                               client_round_trip() - kSendingMargin - lag);
   useful_until_ =
       std::min(deadline(),
                started_at() + std::chrono::duration_cast<Duration>(
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -1,6 +1,9 @@
 #include "lacewingknot/edge/service.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace lacewingknot::edge {
 namespace {
@@ -10,6 +13,30 @@
 
 }  // namespace
 
+Service::Service(Options options)
+    : options_(std::move(options)),
+      vm_hash_(XXH3_64bits(options_.vm.data(), options_.vm.size())),
+      budget_(options_.extra_load, options_.started_at) {}
+
+void Service::Add(UpstreamPtr upstream) {
+  const auto rank = [&](const UpstreamPtr& one) {
+    return std::pair(!one->local(),
+                     XXH3_64bits_withSeed(one->record().id.data(),
+                                          one->record().id.size(), vm_hash_));
+  };
+  const auto position =
+      std::lower_bound(upstreams_.begin(), upstreams_.end(), upstream,
+                       [&](const UpstreamPtr& a, const UpstreamPtr& b) {
+                         return rank(a) < rank(b);
+                       });
+  upstreams_.insert(position, std::move(upstream));
+}
+
+void Service::Remove(const UpstreamPtr& upstream) {
+  std::erase(upstreams_, upstream);
+  cold_gates_.erase(upstream.get());
+}
+
 bool Service::HasUsable() const {
   return std::any_of(
       upstreams_.begin(), upstreams_.end(),
@@ -27,7 +54,9 @@
                             bool even_backing_off, TimePoint now) {
   std::vector<ReplicaLoad> loads;
   std::vector<UpstreamPtr> candidates;
+  std::size_t usable = 0;
   for (const UpstreamPtr& upstream : upstreams_) {
+    if (upstream->usable() && ++usable > subset_) break;
     if (!upstream->usable() || !PassesColdGate(upstream, now)) continue;
     if (std::find(tried.begin(), tried.end(), upstream) != tried.end()) {
       continue;
@@ -46,6 +75,14 @@
   return upstream;
 }
 
+bool Service::WarmUp(TimePoint now) {
+  if (limits_.cold_requests_per_second > 0) return false;
+  const auto first = std::find_if(
+      upstreams_.begin(), upstreams_.end(),
+      [](const UpstreamPtr& upstream) { return upstream->usable(); });
+  return first != upstreams_.end() && (*first)->WarmUp(now);
+}
+
 bool Service::Suspects(const UpstreamPtr& upstream, TimePoint now) const {
   return IsSuspect(upstream->Load(typical_, now), choice_);
 }
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -24,10 +24,11 @@
   struct Options {
     std::string name;
     ExtraWindow::Limits extra_load;
+    TimePoint started_at{};  // Of the process.
+    std::string vm;          // This daemon's, for its choice of replicas.
   };
 
-  explicit Service(Options options)
-      : options_(std::move(options)), budget_(options_.extra_load) {}
+  explicit Service(Options options);
 
   const std::string& name() const { return options_.name; }
 
@@ -43,11 +44,12 @@
     budget_.set_limits(limits);
   }
 
-  void Add(UpstreamPtr upstream) { upstreams_.push_back(std::move(upstream)); }
-  void Remove(const UpstreamPtr& upstream) {
-    std::erase(upstreams_, upstream);
-    cold_gates_.erase(upstream.get());
-  }
+  void Add(UpstreamPtr upstream);
+  void Remove(const UpstreamPtr& upstream);
+  // Uses only so many replicas while they can be used: where the fleet is
+  // larger than an upstream's connection limit, not every daemon may connect to
+  // each. Local ones come first, the rest by a hash of daemon and upstream.
+  void set_subset(std::size_t size) { subset_ = size; }
   std::span<const UpstreamPtr> upstreams() const { return upstreams_; }
 
   // Whether any upstream may be used at all.
@@ -58,6 +60,10 @@
   UpstreamPtr Choose(std::span<const UpstreamPtr> tried, bool even_backing_off,
                      TimePoint now);
 
+  // Opens a connection to the upstream that requests go to first, if it has
+  // none. Returns whether it did.
+  bool WarmUp(TimePoint now);
+
   // Whether `upstream` is silent on work that should be done by now.
   bool Suspects(const UpstreamPtr& upstream, TimePoint now) const;
 
@@ -74,14 +80,16 @@
   bool PassesColdGate(const UpstreamPtr& upstream, TimePoint now) const;
 
   Options options_;
+  std::uint64_t vm_hash_;
   ServiceLimits limits_;
   double cold_share_ = 0;
-  std::vector<UpstreamPtr> upstreams_;
+  std::vector<UpstreamPtr> upstreams_;  // Preferred ones first.
   std::map<const Upstream*, ColdGate> cold_gates_;
   ExtraWindow budget_;
   ReplicaChoiceOptions choice_;
   Duration typical_ = std::chrono::milliseconds(20);
   std::size_t rotation_ = 0;
+  std::size_t subset_ = SIZE_MAX;
 };
 
 using ServicePtr = std::shared_ptr<Service>;
--- a/lacewingknot/edge/timer_queue.cc
+++ b/lacewingknot/edge/timer_queue.cc
@@ -1,6 +1,12 @@
 #include "lacewingknot/edge/timer_queue.h"
 
 namespace lacewingknot::edge {
+namespace {
+
+// Of a lag that was seen, one in so many parts is forgotten at each timer.
+constexpr int kLagDecay = 10;
+
+}  // namespace
 
 TimerQueue::Id TimerQueue::At(TimePoint due, std::function<void()> run) {
   const Id id{.due = due, .number = next_number_++};
@@ -31,6 +37,10 @@
   // Timers that are added while others run wait for the next round.
   armed_for_ = TimePoint::min();
   const TimePoint now = BootClock::now();
+  if (!pending_.empty() && pending_.begin()->first.due <= now) {
+    const Duration late = now - pending_.begin()->first.due;
+    lag_ = std::max(late, lag_ - lag_ / kLagDecay);
+  }
   while (!pending_.empty() && pending_.begin()->first.due <= now) {
     auto first = pending_.extract(pending_.begin());
     first.mapped()();
--- a/lacewingknot/edge/timer_queue.h
+++ b/lacewingknot/edge/timer_queue.h
@@ -44,6 +44,10 @@
   // Does nothing if the timer has run or was cancelled. Clears `id`.
   void Cancel(Id& id);
 
+  // How late timers have run of late: how long what is due waits for the
+  // processor.
+  Duration lag() const { return lag_; }
+
  private:
   void Arm();
   void OnTimer();
@@ -52,6 +56,7 @@
   std::map<Id, std::function<void()>> pending_;
   std::uint64_t next_number_ = 1;
   TimePoint armed_for_ = TimePoint::max();
+  Duration lag_{};
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -35,6 +35,12 @@
   Dispatch();
 }
 
+bool Upstream::WarmUp(TimePoint now) {
+  if (!usable() || !connections_.empty() || now < backoff_until_) return false;
+  OpenConnection();
+  return true;
+}
+
 void Upstream::Abandon(const AttemptPtr& attempt) {
   if (attempt->finished || attempt->abandoned) return;
   attempt->abandoned = true;
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -50,6 +50,10 @@
   // Queues or sends `attempt`. Its `done` may be called before this returns.
   void Submit(AttemptPtr attempt);
 
+  // Opens a connection if there is none, so that the next request need not wait
+  // for one. Returns whether it did.
+  bool WarmUp(TimePoint now);
+
   // Nobody waits for `attempt` any more: takes it out of the queue, or closes
   // its connection if it is still at work after kAbandonGrace.
   void Abandon(const AttemptPtr& attempt);
@@ -72,6 +76,7 @@
   // that is not used drifts towards it.
   ReplicaLoad Load(Duration typical, TimePoint now) const;
 
+  bool local() const { return options_.local; }
   const UpstreamRecord& record() const { return options_.record; }
 
  private:
--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -1,5 +1,7 @@
 #include "lacewingknot/policy/extra_window.h"
 
+#include <algorithm>
+
 namespace lacewingknot {
 namespace {
 
@@ -38,7 +40,9 @@
       first += step.first;
     }
   }
-  return limits_.ratio * first + limits_.fixed;
+  const double age = std::chrono::duration<double>(now - started_) /
+                     std::chrono::duration<double>(limits_.length);
+  return limits_.ratio * first + limits_.fixed * std::clamp(age, 0.0, 1.0);
 }
 
 double ExtraWindow::Spent(TimePoint now) const {
--- a/lacewingknot/policy/extra_window.h
+++ b/lacewingknot/policy/extra_window.h
@@ -6,14 +6,16 @@
 // seconds earned.
 //
 // In any window, extra attempts are at most `ratio` of the first attempts in it
-// plus `fixed`. When little is left it goes to those who need it most: a
-// request whose shard would be lost may use all of it, a hedge only a part, and
-// one of a less urgent request a smaller part.
+// plus `fixed`. A daemon that has just started earns the fixed part over one
+// window: the process before it may have spent its own. When little is left it
+// goes to those who need it most: a request whose shard would be lost may use
+// all of it, a hedge only a part, and one of a less urgent request a smaller
+// part.
 //
 // Not thread-safe; a value type.
 //
 // Example:
-//   ExtraWindow window({.ratio = 0.17, .fixed = 3, .length = 10s});
+//   ExtraWindow window({.ratio = 0.17, .fixed = 3, .length = 10s}, now);
 //   window.OnFirstAttempt(now);
 //   if (window.TrySpend(ExtraNeed::kRetry, now)) Send(...);
 
@@ -42,7 +44,8 @@
     Duration length = std::chrono::seconds(10);
   };
 
-  explicit ExtraWindow(Limits limits) : limits_(limits) {}
+  ExtraWindow(Limits limits, TimePoint started)
+      : limits_(limits), started_(started) {}
 
   void set_limits(Limits limits) { limits_ = limits; }
 
@@ -70,6 +73,7 @@
   std::int64_t NumberOf(TimePoint now) const;
 
   Limits limits_;
+  TimePoint started_;
   std::array<Step, kSteps + 1> steps_{};
 };
 
--- a/lacewingknot/policy/replica_choice.cc
+++ b/lacewingknot/policy/replica_choice.cc
@@ -7,7 +7,7 @@
 
 // Part of a request's time that each request in flight on a free slot adds:
 // other daemons use the same slots unseen.
-constexpr double kSharedSlotCost = 0.15;
+constexpr double kSharedSlotCost = 0.4;
 
 Duration Scaled(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(duration * factor);
--- a/lacewingknot/policy/replica_choice.h
+++ b/lacewingknot/policy/replica_choice.h
@@ -38,10 +38,10 @@
 struct ReplicaChoiceOptions {
   // Latency that a replica in another data centre must save to be preferred;
   // traffic between data centres is what it costs.
-  Duration remote_penalty = std::chrono::milliseconds(6);
+  Duration remote_penalty = std::chrono::milliseconds(14);
   // A replica is suspect if its oldest request is older than this many times
   // what its request was expected to take.
-  double suspect_after = 2.5;
+  double suspect_after = 1.8;
   // What a failed request costs: the time until its retry is answered.
   Duration failure_cost = std::chrono::milliseconds(60);
   // Least age for a suspicion, so that short requests do not raise it.
