--- a/lacewingknot/edge/scatter_session_test.cc
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -95,6 +95,7 @@
 TEST_F(ScatterSessionTest, Shard_RefusesEverywhere_IsAskedABoundedNumber) {
   AddUpstream("a", Answers(Record('k')));
   std::vector<ScriptedUpstream*> refusing;
+  refusing.reserve(8);
   for (int i = 0; i < 8; ++i) {
     refusing.push_back(&AddUpstream("b", [](const FakeRequest&, At at) {
       at->Reply({.status = 503, .headers = {{"X-Not-Run", "1"}}});
--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 std::int64_t ExtraWindow::NumberOf(TimePoint now) const {
-  return now.time_since_epoch() / (limits_.length / kSteps);
+  return now.time_since_epoch() /
+         (limits_.length / static_cast<std::int64_t>(kSteps));
 }
 
 ExtraWindow::Step& ExtraWindow::StepAt(TimePoint now) {
--- a/testing/edge_fixture.cc
+++ b/testing/edge_fixture.cc
@@ -67,10 +67,11 @@
 }
 
 FakeReply EdgeFixture::Answer(const FakeRequest& request, std::string body) {
-  return {.status = 200,
-          .headers = {{"X-Id", request.header("X-Id")},
-                      {"X-Signature", "sig-" + body.substr(0, 4)}},
-          .body = std::move(body)};
+  FakeReply reply{.status = 200,
+                  .headers = {{"X-Id", request.header("X-Id")},
+                              {"X-Signature", "sig-" + body.substr(0, 4)}}};
+  reply.body = std::move(body);
+  return reply;
 }
 
 EdgeFixture::Handler EdgeFixture::Answers(const std::string& body) {
