--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace lacewingknot {
 namespace {
@@ -216,6 +217,19 @@
 
 std::span<const EventInfo> AllEvents() { return kEvents; }
 
+std::optional<LogLevel> LogLevelFromName(std::string_view name) {
+  constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLevels{{
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError},
+  }};
+  for (const auto& [known, level] : kLevels) {
+    if (known == name) return level;
+  }
+  return std::nullopt;
+}
+
 void ConfigureLogging(LogLevel level, std::string_view source) {
   log4cplus::Logger logger = Logger();
   logger.removeAllAppenders();
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -98,6 +99,9 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+// The level that settings name so: debug, info, warning or error.
+std::optional<LogLevel> LogLevelFromName(std::string_view name);
+
 // Directs log lines to standard output at `level` and above. `source` is the VM
 // or program name that starts each line.
 void ConfigureLogging(LogLevel level, std::string_view source);
--- a/lacewingknot/daemon/daemon_settings.cc
+++ b/lacewingknot/daemon/daemon_settings.cc
@@ -8,13 +8,6 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLogLevels{{
-    {"debug", LogLevel::kDebug},
-    {"info", LogLevel::kInfo},
-    {"warning", LogLevel::kWarning},
-    {"error", LogLevel::kError},
-}};
-
 class Parser {
  public:
   ParsedDaemonSettings Parse(std::string_view text);
@@ -87,11 +80,9 @@
   const toml::node* node = root.get("log_level");
   if (node == nullptr) return;
   const auto text = node->value_exact<std::string>();
-  for (const auto& [name, level] : kLogLevels) {
-    if (text && *text == name) {
-      parsed_.settings.log_level = level;
-      return;
-    }
+  if (const auto level = LogLevelFromName(text.value_or(""))) {
+    parsed_.settings.log_level = *level;
+    return;
   }
   AddFault(*node, "log_level", "not a level",
            "\"debug\", \"info\", \"warning\" or \"error\"");
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -12,13 +12,6 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLogLevels{{
-    {"debug", LogLevel::kDebug},
-    {"info", LogLevel::kInfo},
-    {"warning", LogLevel::kWarning},
-    {"error", LogLevel::kError},
-}};
-
 constexpr std::array<std::string_view, 13> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
@@ -118,15 +111,12 @@
     const toml::node* node = root.get("log_level");
     if (node == nullptr) return;
     const auto text = node->value_exact<std::string>();
-    const auto found = std::find_if(
-        kLogLevels.begin(), kLogLevels.end(),
-        [&](const auto& level) { return text && level.first == *text; });
-    if (found == kLogLevels.end()) {
-      Fault(*node, "log_level", "not a level",
-            R"("debug", "info", "warning" or "error")");
+    if (const auto level = LogLevelFromName(text.value_or(""))) {
+      parsed_.settings.log_level = *level;
       return;
     }
-    parsed_.settings.log_level = found->second;
+    Fault(*node, "log_level", "not a level",
+          R"("debug", "info", "warning" or "error")");
   }
 
  private:
