A subset of replicas is a preference; a new process has a quarter of its extras

Now a quarter of the fixed part is there at the start (0.8 of it is used, so that a killed fleet stays within the whole), and replicas outside the subset are taken once those in it are tried. Removed: Service::Suspects, ExtraWindow::Left, the unused cold start time; ignored keys are logged.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -36,6 +36,8 @@
     EventInfo{Event::kDaemonSettingsReloaded, "daemon_settings_reloaded",
               Level::kInfo},
     EventInfo{Event::kLogLinesDropped, "log_lines_dropped", Level::kWarning},
+    EventInfo{Event::kSettingsKeyIgnored, "settings_key_ignored",
+              Level::kWarning},
     EventInfo{Event::kSettingsAccepted, "settings_accepted", Level::kInfo},
     EventInfo{Event::kSettingsRefused, "settings_refused", Level::kError},
     EventInfo{Event::kSettingsStale, "settings_stale", Level::kWarning},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -36,6 +36,7 @@
   kDaemonFailed = 1008,
   kDaemonSettingsReloaded = 1009,
   kLogLinesDropped = 1010,
+  kSettingsKeyIgnored = 1011,
   kSettingsAccepted = 1101,
   kSettingsRefused = 1102,
   kSettingsStale = 1103,
--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -125,6 +125,9 @@
   lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
   const sigset_t signals = BlockSignals();
   lacewingknot::StartLogWriter();
+  for (const std::string& key : parsed.ignored) {
+    LogEvent(Event::kSettingsKeyIgnored, {{"file", path}, {"key", key}});
+  }
   std::optional<lacewingknot::platform::StoreReader> store;
   lacewingknot::edge::EdgeDaemon daemon(
       {.settings = parsed.settings,
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -15,7 +15,8 @@
 namespace http = boost::beast::http;
 
 // What a client's latency includes beyond our own time: 3 ms each way, and
-// another exchange if it has just opened the connection (docs/design/edge.md).
+// another exchange if it has just opened the connection
+// (docs/design/platform.md).
 constexpr Duration kRoundTrip = std::chrono::milliseconds(6);
 constexpr Duration kRoundTripWithConnect = std::chrono::milliseconds(12);
 // When a client that came before the first configuration may try again.
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -43,18 +43,16 @@
 }
 
 EdgeCore::EdgeCore(Options options)
-    : options_(std::move(options)),
-      timers_(*options_.io),
-      started_at_(BootClock::now()) {}
+    : options_(std::move(options)), timers_(*options_.io) {}
 
 ServicePtr EdgeCore::ServiceNamed(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
-  service =
-      std::make_shared<Service>(Service::Options{.name = name,
-                                                 .extra_load = {},
-                                                 .started_at = started_at_,
-                                                 .vm = options_.vm});
+  service = std::make_shared<Service>(
+      Service::Options{.name = name,
+                       .extra_load = {},
+                       .started_at = options_.started_at,
+                       .vm = options_.vm});
   ApplyShares(*service);
   return service;
 }
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -66,6 +66,8 @@
     const HeaderNames* names = nullptr;
     EdgeMetrics* metrics = nullptr;
     std::string vm;
+    // Of the process; its share of extra attempts grows from then on.
+    TimePoint started_at = BootClock::now();
     std::string data_centre;
     // Extra attempts of the whole fleet at one service: `extra_ratio` of its
     // requests and `extra_attempts` in a window.
@@ -93,9 +95,9 @@
 
  private:
   // Parts of the fleet's extra attempts that are used; the rest covers daemons
-  // that disagree about the fleet, and steps of the window.
+  // that disagree about the fleet, and those that start anew.
   static constexpr double kRatioUsed = 0.85;
-  static constexpr double kFixedUsed = 0.85;
+  static constexpr double kFixedUsed = 0.8;
   // Least number of daemons assumed, for those that peers have not told of yet
   // and for VMs that may be added.
   static constexpr std::size_t kLeastFleet = 8;
@@ -114,7 +116,6 @@
 
   Options options_;
   TimerQueue timers_;
-  TimePoint started_at_;
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
--- a/lacewingknot/edge/routing_table.h
+++ b/lacewingknot/edge/routing_table.h
@@ -61,8 +61,6 @@
 struct ServiceLimits {
   // Connections that one upstream accepts from all clients together.
   std::int64_t max_connections = 1;
-  // How long an upstream stays cold after its start.
-  Duration cold_start{};
   // Requests a second that a cold upstream bears; 0 if it has no such limit.
   double cold_requests_per_second = 0;
 };
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -20,8 +20,6 @@
 constexpr int kLagsOnTheWay = 2;
 // Part of the objective that is given up for them at the most.
 constexpr int kLargestLagShare = 4;
-// Second look for hedges, in hedge delays after the first.
-constexpr int kSecondHedgeLook = 1;
 // When a client that was refused for want of replicas may come back.
 constexpr Duration kReplicaRetryAfter = std::chrono::milliseconds(300);
 // Requests with an objective up to this cannot wait for a slow attempt.
@@ -210,8 +208,7 @@
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   hedge_timer_ = core().timers().At(
-      now +
-          route().history->HedgeDelay(spec().target_latency) * kSecondHedgeLook,
+      now + route().history->HedgeDelay(spec().target_latency),
       [self] { self->Hedge(); });
 }
 
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -53,20 +53,32 @@
   return gate == cold_gates_.end() || gate->second.Allows(cold_share_, now);
 }
 
-UpstreamPtr Service::Choose(std::span<const UpstreamPtr> tried,
-                            bool even_backing_off, TimePoint now) {
-  std::vector<ReplicaLoad> loads;
+std::vector<UpstreamPtr> Service::Candidates(std::span<const UpstreamPtr> tried,
+                                             std::size_t subset,
+                                             TimePoint now) const {
   std::vector<UpstreamPtr> candidates;
   std::size_t usable = 0;
   for (const UpstreamPtr& upstream : upstreams_) {
-    if (upstream->usable() && ++usable > subset_) break;
-    if (!upstream->usable() || !PassesColdGate(upstream, now)) continue;
+    if (!upstream->usable()) continue;
+    if (++usable > subset) break;
+    if (!PassesColdGate(upstream, now)) continue;
     if (std::find(tried.begin(), tried.end(), upstream) != tried.end()) {
       continue;
     }
+    candidates.push_back(upstream);
+  }
+  return candidates;
+}
+
+UpstreamPtr Service::Choose(std::span<const UpstreamPtr> tried,
+                            bool even_backing_off, TimePoint now) {
+  std::vector<UpstreamPtr> candidates = Candidates(tried, subset_, now);
+  if (candidates.empty()) candidates = Candidates(tried, SIZE_MAX, now);
+  std::vector<ReplicaLoad> loads;
+  loads.reserve(candidates.size());
+  for (const UpstreamPtr& upstream : candidates) {
     loads.push_back(upstream->Load(typical_, now));
     if (even_backing_off) loads.back().backing_off = false;
-    candidates.push_back(upstream);
   }
   const auto chosen = ChooseReplica(loads, rotation_++, choice_);
   if (!chosen) return nullptr;
@@ -87,10 +99,6 @@
          (*first)->WarmUp(now - last_attempt_ < kInUse, now);
 }
 
-bool Service::Suspects(const UpstreamPtr& upstream, TimePoint now) const {
-  return IsSuspect(upstream->Load(typical_, now), choice_);
-}
-
 void Service::NoteLatency(Duration latency) {
   typical_ += std::chrono::duration_cast<Duration>((latency - typical_) *
                                                    kTypicalWeight);
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -46,9 +46,10 @@
 
   void Add(UpstreamPtr upstream);
   void Remove(const UpstreamPtr& upstream);
-  // Uses only so many replicas while they can be used: where the fleet is
-  // larger than an upstream's connection limit, not every daemon may connect to
-  // each. Local ones come first, the rest by a hash of daemon and upstream.
+  // Uses only so many replicas, others only once these are tried: where the
+  // fleet is larger than an upstream's connection limit, not every daemon may
+  // connect to each. Local ones come first, the rest by a hash of daemon and
+  // upstream.
   void set_subset(std::size_t size) { subset_ = size; }
   std::span<const UpstreamPtr> upstreams() const { return upstreams_; }
 
@@ -64,9 +65,6 @@
   // none. Returns whether it did.
   bool WarmUp(TimePoint now);
 
-  // Whether `upstream` is silent on work that should be done by now.
-  bool Suspects(const UpstreamPtr& upstream, TimePoint now) const;
-
   // Counts first attempts, which earn the budget for extra ones.
   void OnFirstAttempt(TimePoint now) {
     last_attempt_ = now;
@@ -80,6 +78,9 @@
   void NoteLatency(Duration latency);
 
  private:
+  // Usable upstreams among the first `subset` that were not tried yet.
+  std::vector<UpstreamPtr> Candidates(std::span<const UpstreamPtr> tried,
+                                      std::size_t subset, TimePoint now) const;
   bool PassesColdGate(const UpstreamPtr& upstream, TimePoint now) const;
 
   Options options_;
--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -5,6 +5,9 @@
 namespace lacewingknot {
 namespace {
 
+// Part of the fixed allowance that a process has when it starts.
+constexpr double kPartAtStart = 0.25;
+
 // Part of the allowance up to which each need may spend.
 constexpr double PartFor(ExtraNeed need) {
   switch (need) {
@@ -43,7 +46,9 @@
   }
   const double age = std::chrono::duration<double>(now - started_) /
                      std::chrono::duration<double>(limits_.length);
-  return limits_.ratio * first + limits_.fixed * std::clamp(age, 0.0, 1.0);
+  return limits_.ratio * first +
+         limits_.fixed *
+             (kPartAtStart + (1 - kPartAtStart) * std::clamp(age, 0.0, 1.0));
 }
 
 double ExtraWindow::Spent(TimePoint now) const {
@@ -65,6 +70,4 @@
   return true;
 }
 
-double ExtraWindow::Left(TimePoint now) { return Allowed(now) - Spent(now); }
-
 }  // namespace lacewingknot
--- a/lacewingknot/policy/extra_window.h
+++ b/lacewingknot/policy/extra_window.h
@@ -6,8 +6,9 @@
 // seconds earned.
 //
 // In any window, extra attempts are at most `ratio` of the first attempts in it
-// plus `fixed`. A daemon that has just started earns the fixed part over one
-// window: the process before it may have spent its own. When little is left it
+// plus `fixed`. A daemon that has just started has a quarter of the fixed part
+// and earns the rest over one window: the process before it may have spent its
+// own. When little is left it
 // goes to those who need it most: a request whose shard would be lost may use
 // all of it, a hedge only a part, and one of a less urgent request a smaller
 // part.
@@ -54,9 +55,6 @@
   // Takes one extra attempt; false if `need` may not have it.
   bool TrySpend(ExtraNeed need, TimePoint now);
 
-  // Extra attempts that are left for the greatest need.
-  double Left(TimePoint now);
-
  private:
   // The window moves in steps of a twentieth; one step more is kept, so that a
   // window is never counted too short.
--- a/testing/edge_fixture.cc
+++ b/testing/edge_fixture.cc
@@ -37,6 +37,8 @@
     : core_({.io = &io_,
              .names = &names_,
              .metrics = &metrics_,
+             // Long enough for all of its share of extra attempts.
+             .started_at = BootClock::now() - std::chrono::minutes(1),
              .data_centre = "here",
              .extra_ratio = 0.2,
              .extra_attempts = 100}),
