The fleet script keeps the daemons' standard output, where logs go now

scripts/demo.sh would have failed at its last line: it looked for E1006 in files that held standard error only.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -24,7 +24,7 @@
 }
 
 fleet_daemon() {  # INDEX
-  "$BIN/lacewingknotd" -s "$FLEET_DIR/vm-$1.toml" 2>>"$FLEET_DIR/vm-$1.log" &
+  "$BIN/lacewingknotd" -s "$FLEET_DIR/vm-$1.toml" >>"$FLEET_DIR/vm-$1.log" 2>&1 &
   DAEMON_PIDS[$1]=$!
 }
 
