--- a/lacewingknot/daemon/daemon_settings.cc
+++ b/lacewingknot/daemon/daemon_settings.cc
@@ -1,10 +1,10 @@
 #include "lacewingknot/daemon/daemon_settings.h"
 
-#include <toml++/toml.h>
-
 #include <array>
 #include <utility>
 
+#include "lacewingknot/settings/toml_document.h"
+
 namespace lacewingknot {
 namespace {
 
@@ -102,16 +102,9 @@
 }
 
 ParsedDaemonSettings Parser::Parse(std::string_view text) {
-  toml::table root;
-  try {
-    root = toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    parsed_.faults.push_back({.line = error.source().begin.line,
-                              .key = "document",
-                              .problem = std::string(error.description()),
-                              .accepted = "a TOML document"});
-    return parsed_;
-  }
+  const auto document = ParseTomlDocument(text, parsed_.faults);
+  if (!document) return parsed_;
+  const toml::table& root = *document;
   RefuseUnknownKeys(root);
   DaemonSettings& settings = parsed_.settings;
   Text(root, "vm", settings.vm);
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -55,6 +55,7 @@
   void OnSourceLost(TimePoint now);
   void OnSourceAnswered(std::uint64_t confirmed, TimePoint now);
   bool source_lost() const { return lost_since_.has_value(); }
+  std::optional<TimePoint> lost_since() const { return lost_since_; }
 
   // Carries out removals whose time has come. Returns whether there is anything
   // new to publish since the last call.
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -81,6 +81,11 @@
   auto bound = std::make_shared<BoundTable>();
   bound->table = table;
   bound->routes.reserve(table->routes().size());
+  // Daemons of other data centres begin at other points of the cycle.
+  const double phase =
+      static_cast<double>(std::hash<std::string>()(options_.data_centre) %
+                          1'000) /
+      1'000;
   for (const RouteSpec& spec : table->routes()) {
     BoundRoute route{.spec = &spec};
     for (const std::string& shard : spec.shards) {
@@ -92,10 +97,6 @@
       route.services.push_back(ServiceNamed(target.service));
       weights.push_back(target.weight);
     }
-    const double phase =
-        static_cast<double>(std::hash<std::string>()(options_.data_centre) %
-                            1'000) /
-        1'000;
     route.turns = std::make_shared<WeightedTurns>(weights, phase);
     auto& history = histories_[spec.name];
     if (!history) history = std::make_shared<RouteHistory>();
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -1,13 +1,12 @@
 #include "lacewingknot/edge/edge_settings.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
 
 #include "lacewingknot/net/http_connection.h"
+#include "lacewingknot/settings/toml_document.h"
 
 namespace lacewingknot::edge {
 namespace {
@@ -127,16 +126,9 @@
 
 ParsedEdgeSettings ParseEdgeSettings(std::string_view text) {
   ParsedEdgeSettings parsed;
-  toml::table root;
-  try {
-    root = toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    parsed.faults.push_back({.line = error.source().begin.line,
-                             .key = "document",
-                             .problem = std::string(error.description()),
-                             .accepted = "a TOML document"});
-    return parsed;
-  }
+  const auto document = ParseTomlDocument(text, parsed.faults);
+  if (!document) return parsed;
+  const toml::table& root = *document;
   Reader reader(parsed);
   EdgeSettings& settings = parsed.settings;
   reader.Text(root, "vm", settings.vm);
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -70,18 +70,12 @@
 
 void ClientRequestReader::on_request_impl(http::verb /*method*/,
                                           string_view method_text,
-                                          string_view target, int version,
+                                          string_view target, int /*version*/,
                                           error_code& /*error*/) {
   request_.method = Text(method_text);
   request_.target = Text(target);
-  request_.version = version;
 }
 
-void ClientRequestReader::on_response_impl(int /*status*/,
-                                           string_view /*reason*/,
-                                           int /*version*/,
-                                           error_code& /*error*/) {}
-
 void ClientRequestReader::on_field_impl(field name, string_view name_text,
                                         string_view value, error_code& error) {
   if (name == field::host) {
@@ -128,30 +122,6 @@
   request_.has_body = true;
 }
 
-std::size_t ClientRequestReader::on_body_impl(string_view body,
-                                              error_code& /*error*/) {
-  request_.body.append(body.data(), body.size());
-  return body.size();
-}
-
-void ClientRequestReader::on_chunk_header_impl(std::uint64_t /*size*/,
-                                               string_view /*extensions*/,
-                                               error_code& /*error*/) {}
-
-std::size_t ClientRequestReader::on_chunk_body_impl(std::uint64_t /*remain*/,
-                                                    string_view body,
-                                                    error_code& error) {
-  return on_body_impl(body, error);
-}
-
-void ClientRequestReader::on_finish_impl(error_code& /*error*/) {}
-
-void UpstreamReplyReader::on_request_impl(http::verb /*method*/,
-                                          string_view /*method_text*/,
-                                          string_view /*target*/,
-                                          int /*version*/,
-                                          error_code& /*error*/) {}
-
 void UpstreamReplyReader::on_response_impl(int status, string_view reason,
                                            int /*version*/,
                                            error_code& /*error*/) {
@@ -194,22 +164,4 @@
   if (length) reply_.body.reserve(*length);
 }
 
-std::size_t UpstreamReplyReader::on_body_impl(string_view body,
-                                              error_code& /*error*/) {
-  reply_.body.append(body.data(), body.size());
-  return body.size();
-}
-
-void UpstreamReplyReader::on_chunk_header_impl(std::uint64_t /*size*/,
-                                               string_view /*extensions*/,
-                                               error_code& /*error*/) {}
-
-std::size_t UpstreamReplyReader::on_chunk_body_impl(std::uint64_t /*remain*/,
-                                                    string_view body,
-                                                    error_code& error) {
-  return on_body_impl(body, error);
-}
-
-void UpstreamReplyReader::on_finish_impl(error_code& /*error*/) {}
-
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -31,7 +31,6 @@
   bool has_body = false;
   bool keep_alive = true;
   bool expects_continue = false;
-  int version = 11;  // 10 or 11.
 };
 
 // An upstream's answer, whole.
@@ -51,7 +50,39 @@
 // the sender writes them anew.
 bool IsHopByHop(boost::beast::http::field field);
 
-class ClientRequestReader : public boost::beast::http::basic_parser<true> {
+// What both readers do alike: a body is collected whole, with or without
+// chunks.
+template <bool is_request>
+class MessageReader : public boost::beast::http::basic_parser<is_request> {
+ protected:
+  using string_view = boost::beast::string_view;
+  using error_code = boost::beast::error_code;
+  using field = boost::beast::http::field;
+
+  // Where the body is collected.
+  virtual std::string& body() = 0;
+
+  // Each reader overrides the one for its own kind of message.
+  void on_request_impl(boost::beast::http::verb /*method*/,
+                       string_view /*method_text*/, string_view /*target*/,
+                       int /*version*/, error_code& /*error*/) override {}
+  void on_response_impl(int /*status*/, string_view /*reason*/, int /*version*/,
+                        error_code& /*error*/) override {}
+
+  std::size_t on_body_impl(string_view bytes, error_code& /*error*/) final {
+    body().append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                            error_code& /*error*/) final {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes,
+                                 error_code& error) final {
+    return on_body_impl(bytes, error);
+  }
+  void on_finish_impl(error_code& /*error*/) final {}
+};
+
+class ClientRequestReader : public MessageReader<true> {
  public:
   explicit ClientRequestReader(const HeaderNames& names) : names_(names) {}
 
@@ -59,33 +90,22 @@
   ClientRequest& request() { return request_; }
 
  private:
-  using string_view = boost::beast::string_view;
-  using error_code = boost::beast::error_code;
-  using field = boost::beast::http::field;
-
+  std::string& body() override { return request_.body; }
   void on_request_impl(boost::beast::http::verb method, string_view method_text,
                        string_view target, int version,
                        error_code& error) override;
-  void on_response_impl(int status, string_view reason, int version,
-                        error_code& error) override;
   void on_field_impl(field name, string_view name_text, string_view value,
                      error_code& error) override;
   void on_header_impl(error_code& error) override;
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override;
-  std::size_t on_body_impl(string_view body, error_code& error) override;
-  void on_chunk_header_impl(std::uint64_t size, string_view extensions,
-                            error_code& error) override;
-  std::size_t on_chunk_body_impl(std::uint64_t remain, string_view body,
-                                 error_code& error) override;
-  void on_finish_impl(error_code& error) override;
 
   const HeaderNames& names_;
   ClientRequest request_;
   std::string connection_tokens_;  // Headers that Connection names.
 };
 
-class UpstreamReplyReader : public boost::beast::http::basic_parser<false> {
+class UpstreamReplyReader : public MessageReader<false> {
  public:
   // `keep_headers`: collect headers to forward.
   UpstreamReplyReader(const HeaderNames& names, bool keep_headers)
@@ -94,13 +114,7 @@
   UpstreamReply& reply() { return reply_; }
 
  private:
-  using string_view = boost::beast::string_view;
-  using error_code = boost::beast::error_code;
-  using field = boost::beast::http::field;
-
-  void on_request_impl(boost::beast::http::verb method, string_view method_text,
-                       string_view target, int version,
-                       error_code& error) override;
+  std::string& body() override { return reply_.body; }
   void on_response_impl(int status, string_view reason, int version,
                         error_code& error) override;
   void on_field_impl(field name, string_view name_text, string_view value,
@@ -108,12 +122,6 @@
   void on_header_impl(error_code& error) override;
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override;
-  std::size_t on_body_impl(string_view body, error_code& error) override;
-  void on_chunk_header_impl(std::uint64_t size, string_view extensions,
-                            error_code& error) override;
-  std::size_t on_chunk_body_impl(std::uint64_t remain, string_view body,
-                                 error_code& error) override;
-  void on_finish_impl(error_code& error) override;
 
   const HeaderNames& names_;
   const bool keep_headers_;
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -31,9 +31,7 @@
     return false;
   }
   tried_.push_back(upstream);
-  ++attempts_;
   live_ = NewAttempt(deadline(), true);
-  live_at_ = upstream;
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   live_->done = [self, weak = std::weak_ptr(live_),
                  kind](AttemptResult result) {
@@ -53,7 +51,6 @@
   const TimePoint now = BootClock::now();
   core().metrics().OnAttempt(kind, result.end, now - attempt->submitted_at);
   live_ = nullptr;
-  live_at_ = nullptr;
   if (finished()) return;
   last_cause_ =
       result.cause.empty() ? AttemptEndName(result.end) : result.cause;
@@ -117,12 +114,12 @@
 
 void PassSession::AbandonAttempts() {
   core().timers().Cancel(deadline_timer_);
-  if (live_) live_at_->Abandon(live_);
+  if (live_) tried_.back()->Abandon(live_);
   live_ = nullptr;
 }
 
 std::string PassSession::LogDetails() const {
-  std::string details = "attempts=" + std::to_string(attempts_);
+  std::string details = "attempts=" + std::to_string(tried_.size());
   for (const UpstreamPtr& upstream : tried_) {
     details += " upstream=" + upstream->record().id;
   }
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -39,12 +39,10 @@
 
   ServicePtr service_;
   std::vector<UpstreamPtr> tried_;
-  AttemptPtr live_;
-  UpstreamPtr live_at_;
+  AttemptPtr live_;  // At the last one tried.
   TimerQueue::Id deadline_timer_;
   std::int64_t runs_ = 0;  // Attempts that ran or may have run.
   std::int64_t refusals_ = 0;
-  std::size_t attempts_ = 0;
   std::string_view last_cause_;
 };
 
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -222,16 +222,14 @@
     case AttemptEnd::kAnswered:
       NoteLatency(latency, now);
       if (result.reply.status >= kServerErrors) {
-        failure_share_ += kFailureWeight * (1 - failure_share_);
-        failure_at_ = now;
+        RaiseFailureShare(now);
       } else {
         NoteSuccess();
       }
       return;
     case AttemptEnd::kRefused:
       if (result.reply.status == kMisdirected) NoteMisdirected();
-      failure_share_ += kFailureWeight * (1 - failure_share_);
-      failure_at_ = now;
+      RaiseFailureShare(now);
       return;
     case AttemptEnd::kNotSent:
     case AttemptEnd::kLost:
@@ -255,9 +253,13 @@
                                                    kLatencyWeight);
 }
 
-void Upstream::NoteFailure(std::string_view cause, TimePoint now) {
+void Upstream::RaiseFailureShare(TimePoint now) {
   failure_share_ += kFailureWeight * (1 - failure_share_);
   failure_at_ = now;
+}
+
+void Upstream::NoteFailure(std::string_view cause, TimePoint now) {
+  RaiseFailureShare(now);
   ++failures_in_row_;
   // A single lost exchange says little; a failed connect says that nobody
   // listens.
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -115,6 +115,7 @@
                    TimePoint now);
   void NoteLatency(Duration latency, TimePoint now);
   void NoteFailure(std::string_view cause, TimePoint now);
+  void RaiseFailureShare(TimePoint now);
   void NoteSuccess();
   void NoteMisdirected();
   void CloseIdle(std::string_view cause);
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -197,7 +197,6 @@
     StartReader();
     return;
   }
-  ++answers_;
   if (reply.idle_timeout) idle_timeout_ = reply.idle_timeout;
   AttemptResult result;
   const bool refused = reply.not_run || reply.status == kMisdirected;
--- a/lacewingknot/edge/upstream_connection.h
+++ b/lacewingknot/edge/upstream_connection.h
@@ -60,7 +60,6 @@
   State state() const { return state_; }
   const AttemptPtr& attempt() const { return attempt_; }
   TimePoint idle_since() const { return idle_since_; }
-  std::size_t answers() const { return answers_; }
   // How long the upstream keeps an idle connection, if it says so.
   std::optional<Duration> idle_timeout() const { return idle_timeout_; }
 
@@ -90,7 +89,6 @@
   std::array<char, 4096> chunk_{};
   TimePoint idle_since_{};
   std::optional<Duration> idle_timeout_;
-  std::size_t answers_ = 0;
   int stray_answers_ = 0;
   bool writing_ = false;
 };
--- a/lacewingknot/policy/cold_fleet_test.cc
+++ b/lacewingknot/policy/cold_fleet_test.cc
@@ -12,12 +12,15 @@
 #include <deque>
 
 #include "lacewingknot/policy/upstream_table.h"
+#include "testing/any_vm_list.h"
 
 namespace lacewingknot {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::AnyVms;
+using testing::MakeList;
 
 constexpr int kDaemons = 4;
 constexpr Duration kLease = seconds(3);
@@ -34,25 +37,6 @@
 data_centre = "a"
 )";
 
-VmListPtr MakeList(std::uint64_t revision, const std::vector<int>& vms) {
-  auto list = std::make_shared<VmList>();
-  list->revision = revision;
-  for (int vm : vms) {
-    list->vms.push_back({.id = "vm-" + std::to_string(vm), .data_centre = "a"});
-  }
-  return list;
-}
-
-// Some of the VMs, at least one.
-std::vector<int> AnyVms() {
-  const int chosen = *rc::gen::inRange(1, 1 << kDaemons);
-  std::vector<int> vms;
-  for (int vm = 0; vm < kDaemons; ++vm) {
-    if ((chosen >> vm & 1) != 0) vms.push_back(vm);
-  }
-  return vms;
-}
-
 // One upstream and the daemons that send to it, in virtual time.
 class ColdFleet {
  public:
@@ -195,7 +179,7 @@
         fleet.Restart();
         break;
       case 1:
-        fleet.PublishList(AnyVms());
+        fleet.PublishList(AnyVms(kDaemons));
         break;
       case 2:
         fleet.Advance(milliseconds(*rc::gen::inRange(1, 5'000)));
--- a/lacewingknot/policy/fleet_view_test.cc
+++ b/lacewingknot/policy/fleet_view_test.cc
@@ -3,34 +3,19 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "testing/any_vm_list.h"
+
 namespace lacewingknot {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::AnyVms;
+using testing::MakeList;
 
 constexpr Duration kLease = seconds(3);
 constexpr int kDaemons = 5;
 
-VmListPtr MakeList(std::uint64_t revision, const std::vector<int>& vms) {
-  auto list = std::make_shared<VmList>();
-  list->revision = revision;
-  for (int vm : vms) {
-    list->vms.push_back({.id = "vm-" + std::to_string(vm), .data_centre = "a"});
-  }
-  return list;
-}
-
-// Some of the VMs, at least one.
-std::vector<int> AnyVms() {
-  const int chosen = *rc::gen::inRange(1, 1 << kDaemons);
-  std::vector<int> vms;
-  for (int vm = 0; vm < kDaemons; ++vm) {
-    if ((chosen >> vm & 1) != 0) vms.push_back(vm);
-  }
-  return vms;
-}
-
 class FleetViewTest : public ::testing::Test {
  protected:
   FleetView MakeView(int vm) const {
@@ -120,7 +105,7 @@
   for (int step = 0; step < steps; ++step) {
     clock.Advance(milliseconds(*rc::gen::inRange(1, 1'500)));
     if (*rc::gen::inRange(0, 8) == 0) {
-      const auto vms = AnyVms();
+      const auto vms = AnyVms(kDaemons);
       published = MakeList(published->revision + 1, vms);
     }
     for (FleetView& view : views) {
--- a/lacewingknot/settings/parse.cc
+++ b/lacewingknot/settings/parse.cc
@@ -1,9 +1,9 @@
-#include <toml++/toml.h>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <set>
 
+#include "lacewingknot/settings/toml_document.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot {
@@ -54,16 +54,9 @@
 }
 
 ParsedSettings Parser::Parse(std::string_view text) {
-  toml::table root;
-  try {
-    root = toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    faults_.push_back({.line = error.source().begin.line,
-                       .key = "document",
-                       .problem = std::string(error.description()),
-                       .accepted = "a TOML document"});
-    return {.tree = nullptr, .faults = faults_};
-  }
+  const auto document = ParseTomlDocument(text, faults_);
+  if (!document) return {.tree = nullptr, .faults = faults_};
+  const toml::table& root = *document;
   RefuseUnknownKeys(
       root, "", {"revision", "fleet", "data_centre", "service", "upstream"});
   ParseRevision(root);
--- /dev/null
+++ b/testing/any_vm_list.h
@@ -0,0 +1,38 @@
+// Lists of VMs for the tests of decisions about the fleet.
+
+#ifndef TESTING_ANY_VM_LIST_H_
+#define TESTING_ANY_VM_LIST_H_
+
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lacewingknot/policy/fleet_view.h"
+
+namespace lacewingknot::testing {
+
+inline VmListPtr MakeList(std::uint64_t revision, const std::vector<int>& vms) {
+  auto list = std::make_shared<VmList>();
+  list->revision = revision;
+  for (int vm : vms) {
+    list->vms.push_back({.id = "vm-" + std::to_string(vm), .data_centre = "a"});
+  }
+  return list;
+}
+
+// Some of `daemons` VMs, at least one.
+inline std::vector<int> AnyVms(int daemons) {
+  const int chosen = *rc::gen::inRange(1, 1 << daemons);
+  std::vector<int> vms;
+  for (int vm = 0; vm < daemons; ++vm) {
+    if ((chosen >> vm & 1) != 0) vms.push_back(vm);
+  }
+  return vms;
+}
+
+}  // namespace lacewingknot::testing
+
+#endif  // TESTING_ANY_VM_LIST_H_
