--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -66,10 +66,14 @@
   kLateAnswerDropped = 1305,
   kRequestEnded = 1306,
   kRequestRejected = 1307,
+  kRelayAttemptFailed = 1308,
   kPeerUnreachable = 1401,
   kPeerProtocolMismatch = 1402,
   kPeerMessageMalformed = 1403,
   kFleetSizeChanged = 1404,
+  kRelayConnected = 1405,
+  kRelayLost = 1406,
+  kRelaysChanged = 1407,
 };
 
 struct EventInfo {
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -57,6 +57,8 @@
   // Called once, unless the attempt is abandoned before.
   std::function<void(AttemptResult)> done;
 
+  // The upstream that a relay chose; empty if this daemon chose it.
+  std::string upstream;
   TimePoint submitted_at{};
   TimePoint sent_at{};
   bool sent = false;
--- a/lacewingknot/edge/control_server.cc
+++ b/lacewingknot/edge/control_server.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-#include "lacewingknot/net/http_connection.h"
+#include "lacewingknot/edge/internal/listening.h"
 
 namespace lacewingknot::edge {
 
@@ -64,19 +64,9 @@
 }
 
 Result<void> ControlServer::Listen(const std::string& address) {
-  const auto endpoint = ParseEndpoint(address);
-  if (!endpoint) return endpoint.error();
   auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(io_);
-  beast::error_code error;
-  acceptor->open(endpoint.value().protocol(), error);
-  if (!error) acceptor->set_option(asio::socket_base::reuse_address(true));
-  if (!error) acceptor->bind(endpoint.value(), error);
-  if (!error) {
-    acceptor->listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error{ErrorType::kConnectFailed,
-                 "cannot listen on " + address + ": " + error.message()};
+  if (const auto bound = internal::BindAndListen(*acceptor, address); !bound) {
+    return bound.error();
   }
   acceptors_.push_back(std::move(acceptor));
   Accept(*acceptors_.back());
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -43,7 +43,9 @@
 }
 
 EdgeCore::EdgeCore(Options options)
-    : options_(std::move(options)), timers_(*options_.io) {}
+    : options_(std::move(options)),
+      timers_(*options_.io),
+      relays_({.io = options_.io, .timers = &timers_}) {}
 
 ServicePtr EdgeCore::ServiceNamed(const std::string& name) {
   ServicePtr& service = services_[name];
@@ -63,18 +65,52 @@
       {.ratio = options_.extra_ratio * kRatioUsed,
        .fixed = options_.extra_attempts * kFixedUsed / fleet});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
-  const auto quota =
-      std::max<std::int64_t>(1, service.limits().max_connections /
-                                    static_cast<std::int64_t>(fleet_size_));
+  const std::int64_t quota = ConnectionQuota(service);
   for (const UpstreamPtr& upstream : service.upstreams()) {
     upstream->set_connection_quota(quota);
   }
   // Replicas that this daemon may connect to, so that all daemons together
   // keep to the limit of each.
   const double replicas = static_cast<double>(service.upstreams().size());
-  service.set_subset(static_cast<std::size_t>(
-      std::max(1.0, static_cast<double>(service.limits().max_connections) *
-                        replicas / fleet)));
+  const double subset =
+      static_cast<double>(service.limits().max_connections) * replicas / fleet;
+  service.set_subset(relays_.IsOwn(service.relay_group())
+                         ? SIZE_MAX
+                         : static_cast<std::size_t>(std::max(1.0, subset)));
+}
+
+std::int64_t EdgeCore::ConnectionQuota(const Service& service) const {
+  const auto limit = static_cast<double>(service.limits().max_connections);
+  double quota = limit / static_cast<double>(fleet_size_);
+  if (shards_.count(service.name()) > 0 &&
+      relays_.IsOwn(service.relay_group())) {
+    quota = limit * kRelayConnections /
+            static_cast<double>(data_centres_ * RelayRanking::kRanks);
+  }
+  return std::max<std::int64_t>(1, static_cast<std::int64_t>(quota));
+}
+
+void EdgeCore::ApplyAllShares() {
+  for (const auto& [name, service] : services_) ApplyShares(*service);
+}
+
+ServicePtr EdgeCore::FindService(std::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+void EdgeCore::set_relays(RelayRanking ranking, const std::string& self,
+                          std::size_t data_centres) {
+  relays_.Update(std::move(ranking), self);
+  data_centres_ = std::max<std::size_t>(data_centres, 1);
+  std::int64_t own = 0;
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    if (relays_.IsOwn(group)) ++own;
+  }
+  LogEvent(Event::kRelaysChanged, {{"in_use", relays_.in_use() ? "yes" : "no"},
+                                   {"own_groups", own},
+                                   {"data_centres", data_centres_}});
+  ApplyAllShares();
 }
 
 void EdgeCore::ApplyRouting(const std::shared_ptr<const RoutingTable>& table) {
@@ -114,7 +150,7 @@
 void EdgeCore::set_fleet_size(std::size_t size) {
   options_.metrics->set_peers(size);
   fleet_size_ = std::max(size, kLeastFleet);
-  for (const auto& [name, service] : services_) ApplyShares(*service);
+  ApplyAllShares();
 }
 
 void EdgeCore::StartWarming() { Warm(); }
@@ -127,6 +163,10 @@
       if (!route.spec->is_scatter()) continue;
       for (const ServicePtr& service : route.services) {
         if (opened >= kWarmAtOnce) break;
+        // Others ask it for this daemon.
+        if (relays_.in_use() && !relays_.IsOwn(service->relay_group())) {
+          continue;
+        }
         if (service->WarmUp(now)) ++opened;
       }
     }
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -18,6 +18,7 @@
 
 #include "lacewingknot/edge/edge_metrics.h"
 #include "lacewingknot/edge/header_names.h"
+#include "lacewingknot/edge/relay_table.h"
 #include "lacewingknot/edge/routing_table.h"
 #include "lacewingknot/edge/service.h"
 #include "lacewingknot/edge/timer_queue.h"
@@ -81,17 +82,26 @@
   void ApplyDirectory(std::shared_ptr<const Directory> directory);
   // Keeps a connection open to the first replica of every shard from now on.
   void StartWarming();
+  // The relays of this data centre; `self` is this daemon's address there.
+  // Each of `data_centres` has relays of its own.
+  void set_relays(RelayRanking ranking, const std::string& self,
+                  std::size_t data_centres);
   // Daemons believed to be alive; limits of the fleet are divided by it.
   void set_fleet_size(std::size_t size);
 
   // Null until the first configuration.
   std::shared_ptr<const BoundTable> routes() const { return routes_; }
+  const RelayTable& relays() const { return relays_; }
+  // Null if no configuration or upstream names it.
+  ServicePtr FindService(std::string_view name) const;
   const Directory* directory() const { return directory_.get(); }
 
   boost::asio::io_context& io() { return *options_.io; }
   TimerQueue& timers() { return timers_; }
   const HeaderNames& names() const { return *options_.names; }
   EdgeMetrics& metrics() { return *options_.metrics; }
+  // A number that no other query of this daemon has.
+  std::uint64_t NextQueryNumber() { return ++last_query_number_; }
 
  private:
   // Parts of the fleet's extra attempts that are used; the rest covers daemons
@@ -107,12 +117,18 @@
   static constexpr Duration kWarmInterval = std::chrono::milliseconds(250);
   static constexpr std::size_t kWarmAtOnce = 16;
 
+  // Part of an upstream's connections that relays use; the rest is for daemons
+  // that ask directly while a relay is lost.
+  static constexpr double kRelayConnections = 0.5;
+
   void Warm();
   ServicePtr ServiceNamed(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
   void RemoveUpstream(const std::string& id);
   void UpdateUsable();
   void ApplyShares(Service& service);
+  void ApplyAllShares();
+  std::int64_t ConnectionQuota(const Service& service) const;
 
   Options options_;
   TimerQueue timers_;
@@ -123,7 +139,10 @@
   // Services that a route has asked as shards.
   std::set<std::string> shards_;
   std::map<std::string, std::shared_ptr<RouteHistory>, std::less<>> histories_;
+  RelayTable relays_;
   std::size_t fleet_size_ = kLeastFleet;
+  std::size_t data_centres_ = 1;
+  std::uint64_t last_query_number_ = 0;
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -25,6 +26,8 @@
       server_({.core = &core_,
                .listen = options_.settings.listen,
                .stop_grace = options_.settings.stop_grace}),
+      relay_server_(
+          {.core = &core_, .listen = options_.settings.gossip_listen}),
       control_(control_io_) {}
 
 Result<void> EdgeDaemon::Start() {
@@ -73,6 +76,9 @@
 Result<void> EdgeDaemon::StartGossip() {
   const EdgeSettings& settings = options_.settings;
   if (settings.gossip_listen.empty()) return Ok();
+  if (const auto listening = relay_server_.Listen(); !listening) {
+    return listening.error();
+  }
   // Peers are named by their control addresses; all gossip on one port.
   const std::string port =
       settings.gossip_listen.substr(settings.gossip_listen.rfind(':'));
@@ -90,7 +96,11 @@
           // next, and the time of day need not.
           .incarnation = static_cast<std::uint64_t>(ToMillis(started)),
           .random_seed = std::random_device()(),
+          .data_centre = settings.data_centre,
+          .processor_share = settings.processor_share,
           .on_fleet_size = [this](std::size_t size) { OnFleetSize(size); },
+          .on_members =
+              [this](std::span<const Member> members) { OnMembers(members); },
           .on_store_revision =
               [this](std::uint64_t revision) {
                 if (options_.on_peer_revision) {
@@ -105,6 +115,22 @@
   Post([this, size] { core_.set_fleet_size(size); });
 }
 
+void EdgeDaemon::OnMembers(std::span<const Member> members) {
+  std::vector<RelayCandidate> candidates;
+  std::set<std::string> data_centres;
+  for (const Member& member : members) {
+    data_centres.insert(member.data_centre);
+    if (member.data_centre != options_.settings.data_centre) continue;
+    candidates.push_back({.address = member.address,
+                          .processor_share = member.processor_share});
+  }
+  Post([this, ranking = RelayRanking(candidates),
+        count = data_centres.size()]() mutable {
+    core_.set_relays(std::move(ranking), options_.settings.gossip_listen,
+                     count);
+  });
+}
+
 void EdgeDaemon::OnStoreRevision(std::uint64_t revision) {
   if (gossip_) gossip_->set_store_revision(revision);
 }
@@ -172,6 +198,7 @@
            {{"grace_ms", ToMillis(options_.settings.stop_grace)}});
   NoteReadiness();
   Post([this] {
+    relay_server_.AnnounceStop();
     server_.Drain([this] {
       const std::lock_guard lock(mutex_);
       drained_ = true;
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -25,6 +25,7 @@
 #include "lacewingknot/edge/edge_server.h"
 #include "lacewingknot/edge/edge_settings.h"
 #include "lacewingknot/edge/peer_gossip.h"
+#include "lacewingknot/edge/relay_server.h"
 
 namespace lacewingknot::edge {
 
@@ -59,6 +60,7 @@
  private:
   Result<void> StartGossip();
   void OnFleetSize(std::size_t size);
+  void OnMembers(std::span<const Member> members);
   bool IsReady() const;
   void NoteReadiness();
   std::string Status() const;
@@ -70,6 +72,7 @@
   boost::asio::io_context control_io_{1};
   EdgeCore core_;
   EdgeServer server_;
+  RelayServer relay_server_;
   ControlServer control_;
   std::optional<PeerGossip> gossip_;
   std::atomic<std::size_t> fleet_size_ = 1;
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -74,6 +74,15 @@
                       .Name("lacewingknot_edge_attempt_seconds")
                       .Help("From placing an attempt to its end.")
                       .Register(*registry_);
+  auto& relayed = prometheus::BuildCounter()
+                      .Name("lacewingknot_edge_relayed_attempts_total")
+                      .Help("Attempts that a relay was asked for, by end.")
+                      .Register(*registry_);
+  for (std::size_t end = 0; end < kAttemptEnds; ++end) {
+    relayed_[end] = &relayed.Add(
+        {{"end",
+          std::string(AttemptEndName(static_cast<AttemptEnd>(end)))}});
+  }
   for (std::size_t kind = 0; kind < kAttemptKinds; ++kind) {
     const std::string kind_name(
         AttemptKindName(static_cast<AttemptKind>(kind)));
@@ -111,6 +120,10 @@
   attempt_seconds_[kind_index]->Observe(Seconds(latency));
 }
 
+void EdgeMetrics::OnRelayed(AttemptEnd end) {
+  relayed_[static_cast<std::size_t>(end)]->Increment();
+}
+
 void EdgeMetrics::OnHedgeDenied(std::string_view reason) {
   hedges_denied_.Add({{"reason", std::string(reason)}}).Increment();
 }
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -31,6 +31,8 @@
   void OnRequest(std::string_view route, std::string_view outcome,
                  Duration latency);
   void OnAttempt(AttemptKind kind, AttemptEnd end, Duration latency);
+  // An attempt that a relay was asked for.
+  void OnRelayed(AttemptEnd end);
   void OnHedgeDenied(std::string_view reason);
   void OnUpstreamBelief(std::string_view belief);
   void OnConnectionOpened();
@@ -58,6 +60,7 @@
   std::array<std::array<prometheus::Counter*, kAttemptEnds>, kAttemptKinds>
       attempts_{};
   std::array<prometheus::Histogram*, kAttemptKinds> attempt_seconds_{};
+  std::array<prometheus::Counter*, kAttemptEnds> relayed_{};
   prometheus::Family<prometheus::Counter>& hedges_denied_;
   prometheus::Family<prometheus::Counter>& beliefs_;
   prometheus::Family<prometheus::Counter>& store_calls_;
--- a/lacewingknot/edge/edge_server.cc
+++ b/lacewingknot/edge/edge_server.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "lacewingknot/net/http_connection.h"
+#include "lacewingknot/edge/internal/listening.h"
 
 namespace lacewingknot::edge {
 
@@ -13,19 +13,9 @@
     : options_(std::move(options)), acceptor_(options_.core->io()) {}
 
 Result<void> EdgeServer::Listen() {
-  const auto endpoint = ParseEndpoint(options_.listen);
-  if (!endpoint) return endpoint.error();
-  boost::system::error_code error;
-  acceptor_.open(endpoint.value().protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true));
-  if (!error) acceptor_.bind(endpoint.value(), error);
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error{
-        ErrorType::kConnectFailed,
-        "cannot listen on " + options_.listen + ": " + error.message()};
+  if (const auto bound = internal::BindAndListen(acceptor_, options_.listen);
+      !bound) {
+    return bound.error();
   }
   Accept();
   return Ok();
@@ -36,7 +26,7 @@
                                 asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
-      options_.core->timers().At(BootClock::now() + kAcceptRetry,
+      options_.core->timers().At(BootClock::now() + internal::kAcceptRetry,
                                  [this] { Accept(); });
       return;
     }
--- a/lacewingknot/edge/edge_server.h
+++ b/lacewingknot/edge/edge_server.h
@@ -45,8 +45,6 @@
   // Left for the end of the process.
   static constexpr Duration kExitMargin = std::chrono::milliseconds(500);
   static constexpr Duration kDrainStep = std::chrono::milliseconds(100);
-  // Pause after an accept that failed for want of descriptors.
-  static constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
 
   void Accept();
   void DrainStep();
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 13> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 14> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -22,6 +22,7 @@
                                                       "store",
                                                       "store_max_staleness_ms",
                                                       "log_level",
+                                                      "processor_share",
                                                       "extra_load",
                                                       "stop"};
 
@@ -141,6 +142,7 @@
   reader.Address(root, "store", true, settings.store);
   reader.Peers(root);
   reader.Level(root);
+  reader.Number(root, "processor_share", 0.001, 1'000, settings.processor_share);
   reader.Number(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
   reader.Number(root, "extra_load.attempts", 0, 1e6, settings.extra_attempts);
   reader.Span<std::chrono::duration<double>>(root, "stop.grace_seconds", 0.5,
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -6,9 +6,10 @@
 //   readiness_listen = "10.1.0.9:8108"  # the balancer
 //   control_listen = "10.1.0.9:8106"    # other daemons, lacewingknotctl
 //   metrics_listen = "10.1.0.9:9464"    # Prometheus
-//   gossip_listen = "10.1.0.9:7380"     # other daemons, UDP
+//   gossip_listen = "10.1.0.9:7380"     # other daemons, UDP; TCP for relays
 //   peers = ["10.1.0.9:8106"]           # control addresses of some daemons
 //   store = "10.200.1.7:8102"           # the configuration store
+//   processor_share = 0.25              # part of a processor that it has
 //   log_level = "info"
 //   store_max_staleness_ms = 4000       # age of what is known of the store
 //   [extra_load]                        # of the whole fleet, for each service
@@ -45,6 +46,7 @@
   std::string store;
   Duration store_max_staleness = std::chrono::milliseconds(4'000);
   LogLevel log_level = LogLevel::kInfo;
+  double processor_share = 1;
   double extra_ratio = 0.1;
   double extra_attempts = 10;
   Duration stop_grace = std::chrono::seconds(6);
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -46,6 +46,9 @@
   std::string body;
 };
 
+// Whether `status` is one of success (2xx).
+constexpr bool IsSuccessStatus(int status) { return status / 100 == 2; }
+
 // True for headers that are never forwarded: they concern one connection, or
 // the sender writes them anew.
 bool IsHopByHop(boost::beast::http::field field);
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -77,7 +77,7 @@
   const bool is_success = reply.status < kServerErrors;
   // A success that nobody signed, or that names no request, proves nothing.
   const bool unsigned_success =
-      reply.status / 100 == 2 &&
+      IsSuccessStatus(reply.status) &&
       (reply.signature.empty() || reply.request_id != request().request_id);
   if (!is_success || unsigned_success) {
     last_cause_ = unsigned_success ? "answer_unsigned" : "upstream_failed";
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -14,13 +14,14 @@
 namespace asio = boost::asio;
 
 // First element of each message; another number is another layout.
-constexpr std::uint32_t kGossipVersion = 1;
+constexpr std::uint32_t kGossipVersion = 2;
 // A message with more members is not one of ours.
 constexpr std::size_t kMaxMembers = 64;
 // Every so many rounds a seed is asked besides, to heal a fleet that was split.
 constexpr std::uint64_t kSeedEvery = 8;
 
-using WireMember = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+using WireMember = std::tuple<std::string, std::uint64_t, std::uint64_t,
+                              std::string, double>;
 using WireMessage = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t,
                                std::vector<WireMember>>;
 
@@ -29,7 +30,8 @@
 std::string EncodeGossip(const GossipMessage& message) {
   std::vector<WireMember> members;
   for (const Member& member : message.members) {
-    members.emplace_back(member.address, member.incarnation, member.heartbeat);
+    members.emplace_back(member.address, member.incarnation, member.heartbeat,
+                         member.data_centre, member.processor_share);
   }
   msgpack::sbuffer bytes;
   msgpack::pack(bytes, WireMessage(kGossipVersion, message.fleet_size,
@@ -46,10 +48,13 @@
       return Error{ErrorType::kPeerProtocol, "another version or too long"};
     }
     GossipMessage message{.fleet_size = size, .store_revision = revision};
-    for (const auto& [address, incarnation, heartbeat] : members) {
+    for (const auto& [address, incarnation, heartbeat, data_centre, share] :
+         members) {
       message.members.push_back({.address = address,
                                  .incarnation = incarnation,
-                                 .heartbeat = heartbeat});
+                                 .heartbeat = heartbeat,
+                                 .data_centre = data_centre,
+                                 .processor_share = share});
     }
     return message;
   } catch (const std::exception& error) {
@@ -62,7 +67,10 @@
       socket_(io),
       timer_(io),
       members_(
-          {.address = options_.listen, .incarnation = options_.incarnation}),
+          {.address = options_.listen,
+           .incarnation = options_.incarnation,
+           .data_centre = options_.data_centre,
+           .processor_share = options_.processor_share}),
       random_(options_.random_seed) {}
 
 Result<void> PeerGossip::Start() {
@@ -95,6 +103,7 @@
   }
   ++ticks_;
   NoteSize();
+  NoteMembers();
   timer_.expires_after(joining ? kJoinInterval : kInterval);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
@@ -148,6 +157,16 @@
   if (sender_lags && !news.members.empty()) Send(news.members.front().address);
 }
 
+void PeerGossip::NoteMembers() {
+  const auto recent = members_.Recent(kRecency, BootClock::now());
+  std::vector<std::string> addresses;
+  addresses.reserve(recent.size());
+  for (const Member& member : recent) addresses.push_back(member.address);
+  if (addresses == reported_members_) return;
+  reported_members_ = std::move(addresses);
+  if (options_.on_members) options_.on_members(recent);
+}
+
 void PeerGossip::NoteSize() {
   const std::size_t size = members_.Size(BootClock::now());
   if (size == reported_size_) return;
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,7 +47,11 @@
     std::vector<std::string> seeds;  // IP:PORT of gossip of some daemons.
     std::uint64_t incarnation = 0;   // Rises with each start of the process.
     std::uint64_t random_seed = 0;
+    std::string data_centre;
+    double processor_share = 1;
     std::function<void(std::size_t size)> on_fleet_size;
+    // Other members than before were heard of lately; at most once a round.
+    std::function<void(std::span<const Member> members)> on_members;
     // A peer has seen this revision of the store.
     std::function<void(std::uint64_t revision)> on_store_revision;
   };
@@ -64,6 +69,9 @@
   static constexpr std::chrono::milliseconds kInterval{1'000};
   // While nobody has answered yet.
   static constexpr std::chrono::milliseconds kJoinInterval{250};
+  // Without a word for so long a member is no candidate for work. Its shares of
+  // limits are kept for longer.
+  static constexpr Duration kRecency = std::chrono::seconds(10);
   static constexpr std::size_t kSample = 12;
   static constexpr std::size_t kMaxDatagram = 2'048;
 
@@ -72,6 +80,7 @@
   void OnDatagram(std::size_t bytes);
   void Send(std::string_view address);
   void NoteSize();
+  void NoteMembers();
 
   Options options_;
   boost::asio::ip::udp::socket socket_;
@@ -81,6 +90,7 @@
   Membership members_;
   std::mt19937_64 random_;
   std::size_t reported_size_ = 0;
+  std::vector<std::string> reported_members_;  // Addresses.
   std::uint64_t ticks_ = 0;
   std::atomic<std::uint64_t> store_revision_ = 0;
 };
--- /dev/null
+++ b/lacewingknot/edge/relay_messages.h
@@ -0,0 +1,89 @@
+// Messages between a daemon that took a query and one that asks some of its
+// shards.
+//
+// A frame is a length of four bytes, most significant first, and a msgpack
+// array that begins with the message's kind. All attempts at a shard are
+// granted by the daemon that took the query, one message at a time, so that the
+// sum never exceeds what the route allows, whichever of the two stops.
+
+#ifndef LACEWINGKNOT_EDGE_RELAY_MESSAGES_H_
+#define LACEWINGKNOT_EDGE_RELAY_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "lacewingknot/base/error.h"
+#include "lacewingknot/edge/attempt.h"
+
+namespace lacewingknot::edge {
+
+// Why a relay did not make an attempt.
+inline constexpr std::string_view kCauseNoReplica = "no_replica";
+inline constexpr std::string_view kCauseNoBudget = "no_budget";
+inline constexpr std::string_view kCauseExpired = "expired";
+
+// One attempt that the relay may make.
+struct RelayAttempt {
+  std::uint64_t number = 0;  // Chosen by the sender; unique on the connection.
+  std::string service;
+  AttemptKind kind = AttemptKind::kFirst;
+};
+
+// Asks for attempts. `head`, `body` and `request_id` are as in OutboundRequest.
+struct RelayAsk {
+  std::uint64_t query = 0;
+  std::string head;
+  std::string body;
+  std::string request_id;
+  std::int64_t useful_ms = 0;  // Time left in which an answer is of use.
+  std::int64_t priority = 0;
+  bool urgent = false;  // The objective leaves no time for a slow attempt.
+  std::vector<RelayAttempt> attempts;
+};
+
+struct RelayResult {
+  std::uint64_t number = 0;
+  AttemptEnd end = AttemptEnd::kNotSent;
+  std::int32_t status = 0;
+  std::string cause;     // Why, for the log.
+  std::string upstream;  // The one that was asked; empty if none.
+  std::string request_id;
+  std::string signature;
+  std::string body;
+};
+
+// Results of a query as they come in; without any, the relay is at work.
+struct RelayResults {
+  std::uint64_t query = 0;
+  std::vector<RelayResult> results;
+};
+
+// Nobody waits for the query's attempts any more.
+struct RelayAbandon {
+  std::uint64_t query = 0;
+};
+
+// The relay stops soon; what it was asked for goes on.
+struct RelayClosing {};
+
+using RelayMessage =
+    std::variant<RelayAsk, RelayResults, RelayAbandon, RelayClosing>;
+
+// A whole frame.
+std::string EncodeRelayFrame(const RelayMessage& message);
+
+// Takes the first frame out of `received`. Empty if it is not whole yet;
+// kPeerProtocol if it is no message.
+Result<std::optional<RelayMessage>> TakeRelayFrame(std::string& received);
+
+// The literal among the known causes that equals `cause`, or "other": results
+// outlive the message that carried them.
+std::string_view KnownCause(std::string_view cause);
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_RELAY_MESSAGES_H_
--- /dev/null
+++ b/lacewingknot/edge/relay_session.cc
@@ -0,0 +1,211 @@
+#include "lacewingknot/edge/relay_session.h"
+
+#include <utility>
+
+#include "lacewingknot/base/event_log.h"
+
+namespace lacewingknot::edge {
+
+void RelaySession::Start(boost::asio::ip::tcp::socket socket) {
+  channel_ = std::make_shared<RelayChannel>(
+      std::move(socket),
+      RelayChannel::Options{
+          .on_message =
+              [weak = weak_from_this()](RelayMessage message) {
+                if (const auto self = weak.lock()) {
+                  self->OnMessage(std::move(message));
+                }
+              },
+          .on_closed =
+              [weak = weak_from_this()](std::string_view /*cause*/) {
+                if (const auto self = weak.lock()) self->OnClosed();
+              }});
+  channel_->Start();
+}
+
+void RelaySession::OnClosed() {
+  while (!queries_.empty()) Forget(queries_.begin()->first);
+  if (options_.on_closed) options_.on_closed(this);
+}
+
+void RelaySession::OnMessage(RelayMessage message) {
+  if (auto* ask = std::get_if<RelayAsk>(&message)) {
+    OnAsk(std::move(*ask));
+  } else if (const auto* abandon = std::get_if<RelayAbandon>(&message)) {
+    Forget(abandon->query);
+  }
+}
+
+RelaySession::Query& RelaySession::QueryOf(RelayAsk& ask, TimePoint now) {
+  const auto [found, added] = queries_.try_emplace(ask.query);
+  Query& query = found->second;
+  if (!added) return query;
+  query.request = std::make_shared<OutboundRequest>(
+      OutboundRequest{.head = std::move(ask.head),
+                      .body = std::move(ask.body),
+                      .request_id = std::move(ask.request_id)});
+  query.useful_until = now + std::chrono::milliseconds(ask.useful_ms);
+  query.priority = ask.priority;
+  query.urgent = ask.urgent;
+  options_.core->timers().At(
+      query.useful_until + kForgetAfter,
+      [weak = weak_from_this(), number = ask.query] {
+        if (const auto self = weak.lock()) self->Forget(number);
+      });
+  return query;
+}
+
+void RelaySession::OnAsk(RelayAsk ask) {
+  const TimePoint now = BootClock::now();
+  Query& query = QueryOf(ask, now);
+  query.outstanding += ask.attempts.size();
+  Gather(ask.query, query);
+  for (const RelayAttempt& granted : ask.attempts) {
+    Place(ask.query, query, granted, now);
+  }
+}
+
+UpstreamPtr RelaySession::Choose(Service& service, const Shard& shard,
+                                 const Query& query, AttemptKind kind,
+                                 TimePoint now, std::string_view& cause) {
+  if (now >= query.useful_until) {
+    cause = kCauseExpired;
+    return nullptr;
+  }
+  UpstreamPtr upstream = service.Choose(shard.tried, false, now);
+  // The first attempt also probes replicas that are backing off.
+  if (!upstream && kind == AttemptKind::kFirst) {
+    upstream = service.Choose(shard.tried, true, now);
+  }
+  if (!upstream) {
+    cause = kCauseNoReplica;
+    return nullptr;
+  }
+  if (kind == AttemptKind::kFirst) {
+    service.OnFirstAttempt(now);
+  } else if (!service.TrySpendExtra(NeedOf(kind, query.urgent), now)) {
+    cause = kCauseNoBudget;
+    return nullptr;
+  }
+  return upstream;
+}
+
+void RelaySession::Place(std::uint64_t number, Query& query,
+                         const RelayAttempt& granted, TimePoint now) {
+  Shard& shard = query.shards[granted.service];
+  std::string_view cause = kCauseNoReplica;
+  const ServicePtr service = options_.core->FindService(granted.service);
+  const UpstreamPtr upstream =
+      service ? Choose(*service, shard, query, granted.kind, now, cause)
+              : nullptr;
+  if (!upstream) {
+    Note(number, query,
+         {.number = granted.number,
+          .end = AttemptEnd::kNotSent,
+          .cause = std::string(cause)});
+    return;
+  }
+  shard.tried.push_back(upstream);
+  auto attempt = std::make_shared<Attempt>();
+  attempt->request = query.request;
+  attempt->useful_until = query.useful_until;
+  attempt->priority = query.priority;
+  attempt->done = [weak = weak_from_this(), number, granted, upstream,
+                   at = std::weak_ptr(attempt)](AttemptResult result) {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->OnResult(number, granted.service, granted, at.lock(), upstream,
+                   std::move(result));
+  };
+  shard.live.push_back({.attempt = attempt, .upstream = upstream});
+  upstream->Submit(attempt);
+}
+
+void RelaySession::OnResult(std::uint64_t number,
+                            const std::string& service_name,
+                            const RelayAttempt& granted,
+                            const AttemptPtr& attempt,
+                            const UpstreamPtr& upstream, AttemptResult result) {
+  const TimePoint now = BootClock::now();
+  EdgeCore& core = *options_.core;
+  core.metrics().OnAttempt(granted.kind, result.end,
+                           now - attempt->submitted_at);
+  const auto found = queries_.find(number);
+  if (found == queries_.end()) return;
+  Query& query = found->second;
+  Shard& shard = query.shards[service_name];
+  std::erase_if(shard.live,
+                [&](const Live& live) { return live.attempt == attempt; });
+  const bool is_part =
+      result.end == AttemptEnd::kAnswered && IsSuccessStatus(result.reply.status);
+  if (result.end == AttemptEnd::kAnswered) {
+    if (const ServicePtr service = core.FindService(service_name)) {
+      service->NoteLatency(now - attempt->submitted_at);
+    }
+  }
+  if (is_part) {
+    query.outstanding -= shard.live.size();
+    AbandonLive(shard);
+  } else {
+    LogEvent(Event::kRelayAttemptFailed, {{"id", query.request->request_id},
+                                          {"service", service_name},
+                                          {"upstream", upstream->record().id},
+                                          {"kind", AttemptKindName(granted.kind)},
+                                          {"end", AttemptEndName(result.end)},
+                                          {"status", result.reply.status},
+                                          {"cause", result.cause}});
+  }
+  Note(number, query,
+       {.number = granted.number,
+        .end = result.end,
+        .status = result.reply.status,
+        .cause = std::string(result.cause),
+        .upstream = is_part ? std::string() : upstream->record().id,
+        .request_id = std::move(result.reply.request_id),
+        .signature = std::move(result.reply.signature),
+        .body = std::move(result.reply.body)});
+}
+
+void RelaySession::Note(std::uint64_t number, Query& query,
+                        RelayResult result) {
+  query.unsent.push_back(std::move(result));
+  --query.outstanding;
+  if (query.outstanding == 0) {
+    Flush(number, query);
+  } else {
+    Gather(number, query);
+  }
+}
+
+void RelaySession::Gather(std::uint64_t number, Query& query) {
+  if (query.gathering) return;
+  query.gathering = true;
+  options_.core->timers().At(
+      BootClock::now() + kGather, [weak = weak_from_this(), number] {
+        const auto self = weak.lock();
+        if (!self) return;
+        const auto found = self->queries_.find(number);
+        if (found == self->queries_.end()) return;
+        if (found->second.gathering) self->Flush(number, found->second);
+      });
+}
+
+void RelaySession::Flush(std::uint64_t number, Query& query) {
+  query.gathering = false;
+  channel_->Send(RelayResults{.query = number,
+                              .results = std::exchange(query.unsent, {})});
+}
+
+void RelaySession::Forget(std::uint64_t number) {
+  const auto found = queries_.find(number);
+  if (found == queries_.end()) return;
+  auto query = queries_.extract(found);
+  for (auto& [service, shard] : query.mapped().shards) AbandonLive(shard);
+}
+
+void RelaySession::AbandonLive(Shard& shard) {
+  for (const Live& live : shard.live) live.upstream->Abandon(live.attempt);
+  shard.live.clear();
+}
+
+}  // namespace lacewingknot::edge
--- /dev/null
+++ b/lacewingknot/edge/relay_session.h
@@ -0,0 +1,91 @@
+// Asks shards for another daemon, over one connection of it.
+//
+// Makes the attempts that it is granted, each at the best replica that the
+// query has not tried yet, within this daemon's budget of extra attempts. It
+// never makes one of its own accord. Results go back together: as soon as
+// everything asked is there, and otherwise a few milliseconds after the first.
+//
+// Not thread-safe: runs on the traffic thread.
+
+#ifndef LACEWINGKNOT_EDGE_RELAY_SESSION_H_
+#define LACEWINGKNOT_EDGE_RELAY_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lacewingknot/edge/edge_core.h"
+#include "lacewingknot/edge/relay_channel.h"
+
+namespace lacewingknot::edge {
+
+class RelaySession : public std::enable_shared_from_this<RelaySession> {
+ public:
+  struct Options {
+    EdgeCore* core = nullptr;
+    std::function<void(RelaySession*)> on_closed;
+  };
+
+  explicit RelaySession(Options options) : options_(std::move(options)) {}
+
+  void Start(boost::asio::ip::tcp::socket socket);
+  // Tells the other side to ask no more.
+  void AnnounceStop() { channel_->Send(RelayClosing{}); }
+
+ private:
+  // Results of one query wait so long for each other; also the time in which a
+  // request is acknowledged.
+  static constexpr Duration kGather = std::chrono::milliseconds(3);
+  // A query is forgotten so long after its answers have ceased to be of use.
+  static constexpr Duration kForgetAfter = std::chrono::milliseconds(500);
+
+  struct Live {
+    AttemptPtr attempt;
+    UpstreamPtr upstream;
+  };
+  // One shard of a query.
+  struct Shard {
+    std::vector<UpstreamPtr> tried;
+    std::vector<Live> live;
+  };
+  struct Query {
+    std::shared_ptr<const OutboundRequest> request;
+    TimePoint useful_until{};
+    std::int64_t priority = 0;
+    bool urgent = false;
+    std::map<std::string, Shard, std::less<>> shards;  // By service.
+    std::size_t outstanding = 0;
+    std::vector<RelayResult> unsent;
+    bool gathering = false;  // A timer will send what is there.
+  };
+
+  void OnMessage(RelayMessage message);
+  void OnAsk(RelayAsk ask);
+  void OnClosed();
+  Query& QueryOf(RelayAsk& ask, TimePoint now);
+  void Place(std::uint64_t number, Query& query, const RelayAttempt& granted,
+             TimePoint now);
+  // Null, and why, if the attempt cannot be made.
+  static UpstreamPtr Choose(Service& service, const Shard& shard,
+                            const Query& query, AttemptKind kind, TimePoint now,
+                            std::string_view& cause);
+  void OnResult(std::uint64_t number, const std::string& service_name,
+                const RelayAttempt& granted, const AttemptPtr& attempt,
+                const UpstreamPtr& upstream, AttemptResult result);
+  void Note(std::uint64_t number, Query& query, RelayResult result);
+  void Gather(std::uint64_t number, Query& query);
+  void Flush(std::uint64_t number, Query& query);
+  void Forget(std::uint64_t number);
+  static void AbandonLive(Shard& shard);
+
+  Options options_;
+  std::shared_ptr<RelayChannel> channel_;
+  std::map<std::uint64_t, Query> queries_;
+};
+
+}  // namespace lacewingknot::edge
+
+#endif  // LACEWINGKNOT_EDGE_RELAY_SESSION_H_
--- /dev/null
+++ b/lacewingknot/edge/relay_table.cc
@@ -0,0 +1,50 @@
+#include "lacewingknot/edge/relay_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lacewingknot::edge {
+
+void RelayTable::Update(RelayRanking ranking, const std::string& self) {
+  ranking_ = std::move(ranking);
+  self_ = self;
+  std::set<std::string> wanted;
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    const auto relays = ranking_.Relays(group);
+    wanted.insert(relays.begin(), relays.end());
+  }
+  wanted.erase(self_);
+  std::erase_if(links_, [&](const auto& entry) {
+    if (wanted.count(entry.first) > 0) return false;
+    entry.second->Close();
+    return true;
+  });
+  for (const std::string& address : wanted) {
+    RelayLinkPtr& link = links_[address];
+    if (link) continue;
+    link = std::make_shared<RelayLink>(
+        RelayLink::Options{.io = options_.io,
+                           .timers = options_.timers,
+                           .address = address});
+    link->Open();
+  }
+}
+
+RelayLinkPtr RelayTable::For(std::size_t group, TimePoint now) const {
+  for (const std::string& address : ranking_.Relays(group)) {
+    if (address == self_) return nullptr;
+    const auto found = links_.find(address);
+    if (found != links_.end() && found->second->usable(now)) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+bool RelayTable::IsOwn(std::size_t group) const {
+  const auto relays = ranking_.Relays(group);
+  return std::find(relays.begin(), relays.end(), self_) != relays.end();
+}
+
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -83,6 +83,7 @@
   const RouteSpec& spec() const { return *options_.route->spec; }
   const BoundRoute& route() const { return *options_.route; }
   const ClientRequest& request() const { return options_.request; }
+  const OutboundRequest& outbound() const { return *outbound_; }
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
   // Last moment for an answer: the client's deadline or the route's timeout.
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -45,23 +45,25 @@
 }
 
 QueryProgress ScatterSession::Progress() const {
-  QueryProgress progress{.shards = shards_.size(),
+  return {.shards = shards_.size(),
+                         .answered = answered_,
+                         .lost = lost_,
                          .min_share = spec().min_share,
                          .answer_by = answer_by_,
                          .deadline = deadline()};
-  for (const Shard& shard : shards_) {
-    if (shard.state == ShardState::kAnswered) ++progress.answered;
-    if (shard.state == ShardState::kLost) ++progress.lost;
-  }
-  return progress;
+}
+
+void ScatterSession::Lose(Shard& shard, std::string_view cause) {
+  shard.state = ShardState::kLost;
+  shard.cause = cause;
+  ++lost_;
 }
 
 void ScatterSession::Start() {
   const TimePoint now = started_at();
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     if (route().services[i]->HasUsable()) continue;
-    shards_[i].state = ShardState::kLost;
-    shards_[i].cause = "no_replica";
+    Lose(shards_[i], kCauseNoReplica);
   }
   if (JudgeQuery(Progress(), now) == QueryVerdict::kFail) {
     Refuse();
@@ -69,14 +71,15 @@
   }
   placing_ = true;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (shards_[i].state != ShardState::kWaiting) continue;
-    route().services[i]->OnFirstAttempt(now);
+    Shard& shard = shards_[i];
+    if (shard.state != ShardState::kWaiting) continue;
+    shard.relay = core().relays().For(route().services[i]->relay_group(), now);
     if (!Place(i, AttemptKind::kFirst, now)) {
-      shards_[i].state = ShardState::kLost;
-      shards_[i].cause = "no_replica_placeable";
+      Lose(shard, "no_replica_placeable");
     }
   }
   placing_ = false;
+  SendGrants(now);
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   hedge_timer_ = core().timers().At(
@@ -89,35 +92,95 @@
   Judge(now);
 }
 
-ExtraNeed ScatterSession::NeedOf(AttemptKind kind) const {
-  if (kind == AttemptKind::kRetry) return ExtraNeed::kRetry;
-  return spec().target_latency <= kUrgentObjective ? ExtraNeed::kUrgentHedge
-                                                   : ExtraNeed::kHedge;
+bool ScatterSession::is_urgent() const {
+  return spec().target_latency <= kUrgentObjective;
 }
 
 bool ScatterSession::Place(std::size_t index, AttemptKind kind, TimePoint now) {
   Shard& shard = shards_[index];
+  if (shard.relay && shard.relay->usable(now)) {
+    GrantToRelay(index, kind, now);
+    return true;
+  }
+  return PlaceHere(index, kind, now);
+}
+
+AttemptPtr ScatterSession::NewShardAttempt(std::size_t index,
+                                           AttemptKind kind) {
+  const AttemptPtr attempt = NewAttempt(useful_until_, false);
+  const auto self =
+      std::static_pointer_cast<ScatterSession>(shared_from_this());
+  attempt->done = [self, index, weak = std::weak_ptr(attempt),
+                   kind](AttemptResult result) {
+    self->OnResult(index, weak.lock(), kind, std::move(result));
+  };
+  return attempt;
+}
+
+void ScatterSession::GrantToRelay(std::size_t index, AttemptKind kind,
+                                  TimePoint now) {
+  Shard& shard = shards_[index];
+  if (query_number_ == 0) query_number_ = core().NextQueryNumber();
+  auto grant = std::find_if(
+      grants_.begin(), grants_.end(),
+      [&](const Grant& one) { return one.relay == shard.relay; });
+  if (grant == grants_.end()) {
+    grants_.push_back({.relay = shard.relay});
+    grant = grants_.end() - 1;
+  }
+  const AttemptPtr attempt = NewShardAttempt(index, kind);
+  attempt->submitted_at = now;
+  const std::uint64_t number = shard.relay->Add(attempt);
+  grant->ask.attempts.push_back({.number = number,
+                                 .service = route().services[index]->name(),
+                                 .kind = kind});
+  shard.live.push_back(
+      {.attempt = attempt, .relay = shard.relay, .relay_number = number});
+  shard.was_relayed = true;
+}
+
+void ScatterSession::SendGrants(TimePoint now) {
+  auto grants = std::exchange(grants_, {});
+  for (Grant& grant : grants) {
+    RelayAsk& ask = grant.ask;
+    ask.query = query_number_;
+    ask.useful_ms = ToMillis(useful_until_ - now);
+    ask.priority = spec().priority;
+    ask.urgent = is_urgent();
+    // A relay that was asked before has the request.
+    if (std::find(asked_.begin(), asked_.end(), grant.relay) == asked_.end()) {
+      ask.head = outbound().head;
+      ask.body = outbound().body;
+      ask.request_id = outbound().request_id;
+      asked_.push_back(grant.relay);
+    }
+    grant.relay->Ask(std::move(ask), now);
+  }
+}
+
+bool ScatterSession::PlaceHere(std::size_t index, AttemptKind kind,
+                               TimePoint now) {
+  Shard& shard = shards_[index];
   Service& service = *route().services[index];
+  if (shard.was_relayed && shard.tried.empty()) {
+    // The relay has most likely asked this one.
+    if (UpstreamPtr first = service.Preferred()) shard.tried.push_back(first);
+  }
   UpstreamPtr upstream = service.Choose(shard.tried, false, now);
   // The first attempt also probes replicas that are backing off.
   if (!upstream && kind == AttemptKind::kFirst) {
     upstream = service.Choose(shard.tried, true, now);
   }
   if (!upstream) return false;
-  if (kind != AttemptKind::kFirst &&
-      !service.TrySpendExtra(NeedOf(kind), now)) {
+  if (kind == AttemptKind::kFirst) {
+    service.OnFirstAttempt(now);
+  } else if (!service.TrySpendExtra(NeedOf(kind, is_urgent()), now)) {
     ++denied_;
     core().metrics().OnHedgeDenied("budget");
     return false;
   }
   shard.tried.push_back(upstream);
-  const AttemptPtr attempt = NewAttempt(useful_until_, false);
-  const auto self =
-      std::static_pointer_cast<ScatterSession>(shared_from_this());
-  attempt->done = [self, index, weak = std::weak_ptr(attempt),
-                   kind](AttemptResult result) {
-    self->OnResult(index, weak.lock(), kind, std::move(result));
-  };
+  const AttemptPtr attempt = NewShardAttempt(index, kind);
   shard.live.push_back({.attempt = attempt, .upstream = upstream});
   upstream->Submit(attempt);
   return true;
@@ -126,16 +189,22 @@
 void ScatterSession::OnResult(std::size_t index, const AttemptPtr& attempt,
                               AttemptKind kind, AttemptResult result) {
   const TimePoint now = BootClock::now();
-  core().metrics().OnAttempt(kind, result.end, now - attempt->submitted_at);
   Shard& shard = shards_[index];
-  std::erase_if(shard.live, [&](const LiveAttempt& live) {
-    return live.attempt == attempt;
-  });
+  const auto live = std::find_if(
+      shard.live.begin(), shard.live.end(),
+      [&](const LiveAttempt& one) { return one.attempt == attempt; });
+  const bool relayed = live != shard.live.end() && live->relay;
+  if (live != shard.live.end()) shard.live.erase(live);
+  if (relayed) {
+    core().metrics().OnRelayed(result.end);
+  } else {
+    core().metrics().OnAttempt(kind, result.end, now - attempt->submitted_at);
+  }
   if (finished() || shard.state != ShardState::kWaiting) return;
   if (result.end == AttemptEnd::kAnswered) {
     const Duration latency = now - attempt->submitted_at;
     route().history->OnAttempt(latency);
-    route().services[index]->NoteLatency(latency);
+    if (!relayed) route().services[index]->NoteLatency(latency);
   }
   if (result.end == AttemptEnd::kAnswered || result.end == AttemptEnd::kLost) {
     ++shard.runs;
@@ -144,16 +213,37 @@
   if (TakePart(shard, result)) {
     AbandonLive(shard);
   } else {
-    OnFailedAttempt(index, result, now);
+    NoteFailure(shard, attempt, result);
+    const bool not_made = relayed && result.end == AttemptEnd::kNotSent;
+    if (!not_made || !TakeBack(index, kind, result.cause, now)) {
+      OnFailedAttempt(index, result, now);
+    }
   }
-  if (!placing_) Judge(now);
+  if (placing_) return;
+  SendGrants(now);
+  Judge(now);
+}
+
+void ScatterSession::NoteFailure(Shard& shard, const AttemptPtr& attempt,
+                                 const AttemptResult& result) {
+  shard.cause =
+      result.cause.empty() ? AttemptEndName(result.end) : result.cause;
+  if (!attempt->upstream.empty()) shard.failed_at += '@' + attempt->upstream;
+}
+
+bool ScatterSession::TakeBack(std::size_t index, AttemptKind kind,
+                              std::string_view cause, TimePoint now) {
+  Shard& shard = shards_[index];
+  if (cause == kCauseNoBudget) ++denied_;
+  // What the relay knows of the shard is of no use here.
+  shard.relay = nullptr;
+  return shard.live.empty() && PlaceHere(index, kind, now);
 }
 
 bool ScatterSession::TakePart(Shard& shard, AttemptResult& result) {
   if (result.end != AttemptEnd::kAnswered) return false;
-  constexpr int kFirstFailure = 300;
   const UpstreamReply& reply = result.reply;
-  if (reply.status < kStatusOk || reply.status >= kFirstFailure) {
+  if (!IsSuccessStatus(reply.status)) {
     result.cause = "upstream_failed";
     return false;
   }
@@ -162,6 +252,7 @@
     return false;
   }
   shard.state = ShardState::kAnswered;
+  ++answered_;
   shard.signature = std::move(result.reply.signature);
   shard.records = std::move(result.reply.body);
   return true;
@@ -177,15 +268,13 @@
                                      const AttemptResult& result,
                                      TimePoint now) {
   Shard& shard = shards_[index];
-  shard.cause =
-      result.cause.empty() ? AttemptEndName(result.end) : result.cause;
   if (result.end == AttemptEnd::kRefused) ++shard.refusals;
   if (!shard.live.empty()) return;
   if (MayRetry(shard) && Place(index, AttemptKind::kRetry, now)) {
     ++retries_;
     return;
   }
-  shard.state = ShardState::kLost;
+  Lose(shard, shard.cause);
 }
 
 void ScatterSession::Hedge() {
@@ -198,12 +287,11 @@
     if (!MayRetry(shard)) continue;
     const bool placed = Place(i, AttemptKind::kHedge, now);
     if (finished()) return;
-    if (placed) {
-      ++hedges_;
-    } else {
-      again = true;
-    }
+    if (placed) ++hedges_;
+    // A relay may have no budget left, or not answer.
+    again = again || !placed || shard.relay;
   }
+  SendGrants(now);
   if (!again) return;
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
@@ -268,12 +356,27 @@
   core().timers().Cancel(hedge_timer_);
   core().timers().Cancel(answer_timer_);
   core().timers().Cancel(deadline_timer_);
+  AbandonAtRelays();
   for (Shard& shard : shards_) AbandonLive(shard);
 }
 
+void ScatterSession::AbandonAtRelays() {
+  for (const RelayLinkPtr& relay : asked_) {
+    const bool at_work =
+        std::any_of(shards_.begin(), shards_.end(), [&](const Shard& shard) {
+          return std::any_of(
+              shard.live.begin(), shard.live.end(),
+              [&](const LiveAttempt& live) { return live.relay == relay; });
+        });
+    if (at_work) relay->AbandonQuery(query_number_);
+  }
+}
+
 void ScatterSession::AbandonLive(Shard& shard) {
   for (const LiveAttempt& live : shard.live) {
-    live.upstream->Abandon(live.attempt);
+    if (live.upstream) live.upstream->Abandon(live.attempt);
+    // A relay abandons the shard's other attempts by itself once it has a part.
+    if (live.relay) live.relay->Forget(live.relay_number);
   }
   shard.live.clear();
 }
@@ -293,10 +396,12 @@
     missing += route().services[i]->name();
     missing += ':';
     missing += shard.cause.empty() ? "no_answer_yet" : shard.cause;
+    missing += shard.failed_at;
     for (const UpstreamPtr& upstream : shard.tried) {
       missing += '@';
       missing += upstream->record().id;
     }
+    if (shard.relay) missing += "@relay_" + shard.relay->address();
   }
   return "parts=" + std::to_string(answered) + "/" +
          std::to_string(shards_.size()) + " hedges=" + std::to_string(hedges_) +
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -3,6 +3,10 @@
 // Each shard is asked at one replica; a slow or failed one is asked once more
 // elsewhere, within the service's budget of extra attempts. JudgeQuery
 // (policy/partial_answer.h) says when to answer with what is there.
+//
+// In a large data centre attempts are made by relays (policy/relay_choice.h).
+// This session grants each of them, so that a relay that stops leaves the
+// remaining attempts to this daemon.
 
 #ifndef LACEWINGKNOT_EDGE_SCATTER_SESSION_H_
 #define LACEWINGKNOT_EDGE_SCATTER_SESSION_H_
@@ -27,11 +31,16 @@
 
   struct LiveAttempt {
     AttemptPtr attempt;
+    // One of these two.
     UpstreamPtr upstream;
+    RelayLinkPtr relay;
+    std::uint64_t relay_number = 0;  // Of the attempt at the relay.
   };
 
   struct Shard {
     ShardState state = ShardState::kWaiting;
+    RelayLinkPtr relay;        // Null if this daemon asks.
+    bool was_relayed = false;  // A relay was granted an attempt.
     std::vector<UpstreamPtr> tried;
     std::vector<LiveAttempt> live;
     std::int64_t runs = 0;  // Attempts that ran or may have run.
@@ -39,6 +48,13 @@
     std::string signature;
     std::string records;
     std::string_view cause;  // Of the last failure.
+    std::string failed_at;   // Upstreams that failed at a relay, for the log.
+  };
+
+  // What one relay is granted in one step.
+  struct Grant {
+    RelayLinkPtr relay;
+    RelayAsk ask;
   };
 
   // Refusals that one shard bears; more say that it is overloaded.
@@ -47,12 +63,25 @@
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
-  ExtraNeed NeedOf(AttemptKind kind) const;
+  bool is_urgent() const;
   // False if no replica can be asked.
   bool Place(std::size_t index, AttemptKind kind, TimePoint now);
+  bool PlaceHere(std::size_t index, AttemptKind kind, TimePoint now);
+  AttemptPtr NewShardAttempt(std::size_t index, AttemptKind kind);
+  void GrantToRelay(std::size_t index, AttemptKind kind, TimePoint now);
+  void SendGrants(TimePoint now);
+  // Takes an attempt back that a relay did not make. Returns whether it is
+  // made here instead.
+  bool TakeBack(std::size_t index, AttemptKind kind, std::string_view cause,
+                TimePoint now);
   void OnResult(std::size_t index, const AttemptPtr& attempt, AttemptKind kind,
                 AttemptResult result);
   static void AbandonLive(Shard& shard);
+  void AbandonAtRelays();
+  // Nothing more can arrive for `shard`.
+  void Lose(Shard& shard, std::string_view cause);
+  static void NoteFailure(Shard& shard, const AttemptPtr& attempt,
+                   const AttemptResult& result);
   bool TakePart(Shard& shard, AttemptResult& result);
   void OnFailedAttempt(std::size_t index, const AttemptResult& result,
                        TimePoint now);
@@ -69,6 +98,11 @@
   TimerQueue::Id hedge_timer_;
   TimerQueue::Id answer_timer_;
   TimerQueue::Id deadline_timer_;
+  std::vector<Grant> grants_;        // Not sent yet.
+  std::vector<RelayLinkPtr> asked_;  // Relays that were granted something.
+  std::uint64_t query_number_ = 0;
+  std::size_t answered_ = 0;
+  std::size_t lost_ = 0;
   std::size_t hedges_ = 0;
   std::size_t retries_ = 0;
   std::size_t denied_ = 0;  // Extra attempts beyond the budget.
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "lacewingknot/policy/relay_choice.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -16,9 +18,15 @@
 
 }  // namespace
 
+ExtraNeed NeedOf(AttemptKind kind, bool urgent) {
+  if (kind == AttemptKind::kRetry) return ExtraNeed::kRetry;
+  return urgent ? ExtraNeed::kUrgentHedge : ExtraNeed::kHedge;
+}
+
 Service::Service(Options options)
     : options_(std::move(options)),
       vm_hash_(XXH3_64bits(options_.vm.data(), options_.vm.size())),
+      relay_group_(RelayRanking::GroupOf(options_.name)),
       budget_(options_.extra_load, options_.started_at) {}
 
 void Service::Add(UpstreamPtr upstream) {
@@ -40,12 +48,15 @@
   cold_gates_.erase(upstream.get());
 }
 
-bool Service::HasUsable() const {
-  return std::any_of(
+UpstreamPtr Service::Preferred() const {
+  const auto first = std::find_if(
       upstreams_.begin(), upstreams_.end(),
       [](const UpstreamPtr& upstream) { return upstream->usable(); });
+  return first == upstreams_.end() ? nullptr : *first;
 }
 
+bool Service::HasUsable() const { return Preferred() != nullptr; }
+
 bool Service::PassesColdGate(const UpstreamPtr& upstream, TimePoint now) const {
   if (limits_.cold_requests_per_second <= 0) return true;
   if (upstream->record().cold_until <= now) return true;
@@ -92,11 +103,8 @@
 
 bool Service::WarmUp(TimePoint now) {
   if (limits_.cold_requests_per_second > 0) return false;
-  const auto first = std::find_if(
-      upstreams_.begin(), upstreams_.end(),
-      [](const UpstreamPtr& upstream) { return upstream->usable(); });
-  return first != upstreams_.end() &&
-         (*first)->WarmUp(now - last_attempt_ < kInUse, now);
+  const UpstreamPtr first = Preferred();
+  return first && first->WarmUp(now - last_attempt_ < kInUse, now);
 }
 
 void Service::NoteLatency(Duration latency) {
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -19,6 +19,10 @@
 
 namespace lacewingknot::edge {
 
+// What an attempt of `kind` may take from the budget; `urgent` if the request's
+// objective leaves no time for a slow attempt.
+ExtraNeed NeedOf(AttemptKind kind, bool urgent);
+
 class Service {
  public:
   struct Options {
@@ -31,6 +35,8 @@
   explicit Service(Options options);
 
   const std::string& name() const { return options_.name; }
+  // The group in which relays ask it (policy/relay_choice.h).
+  std::size_t relay_group() const { return relay_group_; }
 
   void set_limits(const ServiceLimits& limits) { limits_ = limits; }
   const ServiceLimits& limits() const { return limits_; }
@@ -56,6 +62,10 @@
   // Whether any upstream may be used at all.
   bool HasUsable() const;
 
+  // The usable upstream that comes first when nothing is known; null if there
+  // is none.
+  UpstreamPtr Preferred() const;
+
   // The upstream for one more attempt, none of `tried`; null if there is none.
   // One that is backing off is taken only if `even_backing_off`.
   UpstreamPtr Choose(std::span<const UpstreamPtr> tried, bool even_backing_off,
@@ -85,6 +95,7 @@
 
   Options options_;
   std::uint64_t vm_hash_;
+  std::size_t relay_group_;
   ServiceLimits limits_;
   double cold_share_ = 0;
   std::vector<UpstreamPtr> upstreams_;  // Preferred ones first.
--- a/lacewingknot/policy/membership.cc
+++ b/lacewingknot/policy/membership.cc
@@ -7,8 +7,10 @@
 namespace lacewingknot {
 
 Membership::Membership(Options options) : self_(std::move(options.address)) {
-  known_[self_].member = {
-      .address = self_, .incarnation = options.incarnation, .heartbeat = 0};
+  known_[self_].member = {.address = self_,
+                          .incarnation = options.incarnation,
+                          .data_centre = std::move(options.data_centre),
+                          .processor_share = options.processor_share};
 }
 
 void Membership::Merge(std::span<const Member> members, TimePoint now) {
@@ -57,6 +59,16 @@
   return std::nullopt;
 }
 
+std::vector<Member> Membership::Recent(Duration recency, TimePoint now) const {
+  std::vector<Member> recent;
+  for (const auto& [address, known] : known_) {
+    if (address == self_ || now - known.heard_at <= recency) {
+      recent.push_back(known.member);
+    }
+  }
+  return recent;
+}
+
 std::size_t Membership::Known(TimePoint now) {
   std::erase_if(known_, [&](const auto& entry) {
     return entry.first != self_ && now - entry.second.heard_at > kForgetAfter;
--- a/lacewingknot/policy/membership.h
+++ b/lacewingknot/policy/membership.h
@@ -33,6 +33,8 @@
   std::string address;
   std::uint64_t incarnation = 0;
   std::uint64_t heartbeat = 0;
+  std::string data_centre;
+  double processor_share = 1;  // Part of a processor that the daemon has.
 };
 
 class Membership {
@@ -42,6 +44,8 @@
   struct Options {
     std::string address;
     std::uint64_t incarnation = 0;
+    std::string data_centre;
+    double processor_share = 1;
   };
 
   explicit Membership(Options options);
@@ -56,6 +60,10 @@
   // Another member; none if none is known.
   std::optional<std::string_view> PickPeer(std::mt19937_64& random) const;
 
+  // Members heard of within `recency`, in the order of their addresses, this
+  // daemon included.
+  std::vector<Member> Recent(Duration recency, TimePoint now) const;
+
   // Members heard of lately, this daemon included.
   std::size_t Known(TimePoint now);
   // The same, or what a peer counts if that is more.
--- /dev/null
+++ b/lacewingknot/policy/relay_choice.h
@@ -0,0 +1,65 @@
+// Which daemons of a data centre ask a shard on behalf of the others.
+//
+// Load pattern: many small daemons behind a balancer, each with less than one
+// query a second over a hundred shards. Alone, a daemon learns of a slow
+// replica from its own few queries, opens a connection for almost every
+// attempt, and needs most of an urgent query's objective to write its requests
+// on a small share of a processor. A few relays that ask the same shards for
+// the whole data centre see all of its queries, keep their connections in use,
+// and share the work of one query.
+//
+// Shards are divided into kGroups by a hash of their service's name; the relays
+// of a group follow from weighted rendezvous hashing, so that daemons that know
+// the same members agree without an exchange, and a lost daemon moves only its
+// own groups.
+//
+// Pure; immutable after construction.
+
+#ifndef LACEWINGKNOT_POLICY_RELAY_CHOICE_H_
+#define LACEWINGKNOT_POLICY_RELAY_CHOICE_H_
+
+#include <array>
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingknot {
+
+struct RelayCandidate {
+  std::string address;
+  // Part of a processor that the daemon has; its share of groups follows it.
+  double processor_share = 1;
+};
+
+class RelayRanking {
+ public:
+  // A query of 90 shards is written by so many processors at once.
+  static constexpr std::size_t kGroups = 8;
+  // Relays of a group: the first, and one for when it does not answer.
+  static constexpr std::size_t kRanks = 2;
+  // With fewer daemons each sees enough queries itself, and its connections
+  // fit the upstreams' limits.
+  static constexpr std::size_t kLeastDaemons = 8;
+
+  // Without relays.
+  RelayRanking() = default;
+  // `candidates`: all daemons of the data centre, this one included.
+  explicit RelayRanking(std::span<const RelayCandidate> candidates);
+
+  static std::size_t GroupOf(std::string_view service);
+
+  // The group's relays, preferred ones first; empty if daemons ask directly.
+  std::span<const std::string> Relays(std::size_t group) const {
+    return relays_[group];
+  }
+  bool empty() const { return relays_.front().empty(); }
+
+ private:
+  std::array<std::vector<std::string>, kGroups> relays_;
+};
+
+}  // namespace lacewingknot
+
+#endif  // LACEWINGKNOT_POLICY_RELAY_CHOICE_H_
