Slowness of a replica as a multiple of what is usual; bursts count once

One smoothed latency mixed requests of 20 ms and 7 ms, and took what a stop of 200 ms held up for slowness, so that a replica was avoided for seconds after each stop. Ruled out: the store's bytes (2 MB until traffic starts), hedges (7,013). Change: Slowness (policy/) counts a latency as a multiple of what is usual for its route; answers of one burst count once; one sample's rise is bounded. Relays are chosen among members that gossip has not forgotten; a shorter memory made them change every few seconds.

--- a/lacewingknot/base/clock.cc
+++ b/lacewingknot/base/clock.cc
@@ -15,6 +15,11 @@
   return [] { return BootClock::now(); };
 }
 
+std::int64_t ToMicros(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+
 std::int64_t ToMillis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
--- a/lacewingknot/base/clock.h
+++ b/lacewingknot/base/clock.h
@@ -42,6 +42,9 @@
 // Converts to milliseconds for wire formats and logs, rounding down.
 std::int64_t ToMillis(Duration duration);
 
+// The same in microseconds.
+std::int64_t ToMicros(Duration duration);
+
 // A clock moved by hand. Not thread-safe.
 class ManualClock {
  public:
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -52,6 +52,7 @@
   std::shared_ptr<const OutboundRequest> request;
   // The upstream need not work longer than this.
   TimePoint useful_until{};
+  Duration usual{};           // What such a request takes on average.
   std::int64_t priority = 0;  // 0 is the most urgent.
   bool keep_headers = false;  // The answer's headers are forwarded.
   // Called once, unless the attempt is abandoned before.
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -16,6 +16,13 @@
 // Bounds of the hedge delay, as shares of the route's objective.
 constexpr double kLeastHedgeShare = 0.15;
 constexpr double kMostHedgeShare = 0.50;
+// What an attempt is taken to need before any was answered, as a share of the
+// objective.
+constexpr double kFirstUsualShare = 0.12;
+// Weight of the newest sample in what is usual, and the most that one counts:
+// a slow replica must not make slowness usual.
+constexpr double kUsualWeight = 0.01;
+constexpr int kMostUsualRise = 3;
 
 Duration Share(Duration duration, double share) {
   return std::chrono::duration_cast<Duration>(duration * share);
@@ -23,7 +30,12 @@
 
 }  // namespace
 
+RouteHistory::RouteHistory(Duration target_latency)
+    : usual_(Share(target_latency, kFirstUsualShare)) {}
+
 void RouteHistory::OnAttempt(Duration latency) {
+  usual_ += Share(std::min(latency, usual_ * kMostUsualRise) - usual_,
+                  kUsualWeight);
   window_.Add(latency);
   if (++since_update_ < kSamplesPerUpdate) return;
   since_update_ = 0;
@@ -135,7 +147,7 @@
     }
     route.turns = std::make_shared<WeightedTurns>(weights, phase);
     auto& history = histories_[spec.name];
-    if (!history) history = std::make_shared<RouteHistory>();
+    if (!history) history = std::make_shared<RouteHistory>(spec.target_latency);
     route.history = history;
     bound->routes.push_back(std::move(route));
   }
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -31,9 +31,14 @@
 // What was learned of a route; outlives versions of the configuration.
 class RouteHistory {
  public:
+  explicit RouteHistory(Duration target_latency);
+
   // Adds the latency of an attempt that was answered.
   void OnAttempt(Duration latency);
 
+  // What an attempt takes on average.
+  Duration usual() const { return usual_; }
+
   // Time after which a first attempt is slow enough for a hedge, between
   // bounds that follow from the route's objective.
   Duration HedgeDelay(Duration target_latency);
@@ -41,6 +46,7 @@
  private:
   LatencyWindow window_;
   std::size_t since_update_ = 0;
+  Duration usual_;
   Duration quantile_{};  // Zero until enough samples came.
 };
 
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -21,8 +21,10 @@
 }
 
 bool PassSession::Place(AttemptKind kind, TimePoint now) {
-  UpstreamPtr upstream = service_->Choose(tried_, false, now);
-  if (!upstream) upstream = service_->Choose(tried_, true, now);
+  Service::Wish wish{.tried = tried_, .usual = service_->usual()};
+  UpstreamPtr upstream = service_->Choose(wish, now);
+  wish.even_backing_off = true;
+  if (!upstream) upstream = service_->Choose(wish, now);
   if (!upstream) return false;
   if (kind == AttemptKind::kRetry &&
       !service_->TrySpendExtra(ExtraNeed::kRetry, now)) {
@@ -31,7 +33,7 @@
     return false;
   }
   tried_.push_back(upstream);
-  live_ = NewAttempt(deadline(), true);
+  live_ = NewAttempt(deadline(), service_->usual(), true);
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   live_->done = [self, weak = std::weak_ptr(live_),
                  kind](AttemptResult result) {
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -158,13 +158,13 @@
 }
 
 void PeerGossip::NoteMembers() {
-  const auto recent = members_.Recent(kRecency, BootClock::now());
+  const auto alive = members_.Alive(BootClock::now());
   std::vector<std::string> addresses;
-  addresses.reserve(recent.size());
-  for (const Member& member : recent) addresses.push_back(member.address);
+  addresses.reserve(alive.size());
+  for (const Member& member : alive) addresses.push_back(member.address);
   if (addresses == reported_members_) return;
   reported_members_ = std::move(addresses);
-  if (options_.on_members) options_.on_members(recent);
+  if (options_.on_members) options_.on_members(alive);
 }
 
 void PeerGossip::NoteSize() {
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -69,9 +69,6 @@
   static constexpr std::chrono::milliseconds kInterval{1'000};
   // While nobody has answered yet.
   static constexpr std::chrono::milliseconds kJoinInterval{250};
-  // Without a word for so long a member is no candidate for work. Its shares of
-  // limits are kept for longer.
-  static constexpr Duration kRecency = std::chrono::seconds(10);
   static constexpr std::size_t kSample = 12;
   static constexpr std::size_t kMaxDatagram = 2'048;
 
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -23,7 +23,7 @@
 using WireAttempt = std::tuple<std::uint64_t, std::string, std::uint32_t>;
 using WireAsk = std::tuple<std::uint32_t, std::uint64_t, std::string,
                            std::string, std::string, std::int64_t, std::int64_t,
-                           bool, std::vector<WireAttempt>>;
+                           std::int64_t, bool, std::vector<WireAttempt>>;
 using WireResult =
     std::tuple<std::uint64_t, std::uint32_t, std::int32_t, std::string,
                std::string, std::string, std::string, std::string>;
@@ -63,8 +63,8 @@
                             static_cast<std::uint32_t>(attempt.kind));
     }
     msgpack::pack(bytes, WireAsk(kAsk, ask.query, ask.head, ask.body,
-                                 ask.request_id, ask.useful_ms, ask.priority,
-                                 ask.urgent, std::move(attempts)));
+                                 ask.request_id, ask.useful_ms, ask.usual_us,
+                                 ask.priority, ask.urgent, std::move(attempts)));
   }
   void operator()(const RelayResults& message) const {
     std::vector<WireResult> results;
@@ -93,13 +93,14 @@
 }
 
 RelayAsk AskFrom(const msgpack::object& object) {
-  auto [kind, query, head, body, request_id, useful_ms, priority, urgent,
-        attempts] = object.as<WireAsk>();
+  auto [kind, query, head, body, request_id, useful_ms, usual_us, priority,
+        urgent, attempts] = object.as<WireAsk>();
   RelayAsk ask{.query = query,
                .head = std::move(head),
                .body = std::move(body),
                .request_id = std::move(request_id),
                .useful_ms = useful_ms,
+               .usual_us = usual_us,
                .priority = priority,
                .urgent = urgent};
   for (auto& [number, service, attempt_kind] : attempts) {
--- a/lacewingknot/edge/relay_messages.h
+++ b/lacewingknot/edge/relay_messages.h
@@ -40,6 +40,7 @@
   std::string body;
   std::string request_id;
   std::int64_t useful_ms = 0;  // Time left in which an answer is of use.
+  std::int64_t usual_us = 0;   // What one of the attempts takes on average.
   std::int64_t priority = 0;
   bool urgent = false;  // The objective leaves no time for a slow attempt.
   std::vector<RelayAttempt> attempts;
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -45,6 +45,7 @@
                       .body = std::move(ask.body),
                       .request_id = std::move(ask.request_id)});
   query.useful_until = now + std::chrono::milliseconds(ask.useful_ms);
+  query.usual = std::chrono::microseconds(ask.usual_us);
   query.priority = ask.priority;
   query.urgent = ask.urgent;
   options_.core->timers().At(
@@ -72,11 +73,8 @@
     cause = kCauseExpired;
     return nullptr;
   }
-  UpstreamPtr upstream = service.Choose(shard.tried, false, now);
-  // The first attempt also probes replicas that are backing off.
-  if (!upstream && kind == AttemptKind::kFirst) {
-    upstream = service.Choose(shard.tried, true, now);
-  }
+  UpstreamPtr upstream = service.ChooseFor(
+      kind, {.tried = shard.tried, .usual = query.usual}, now);
   if (!upstream) {
     cause = kCauseNoReplica;
     return nullptr;
@@ -109,6 +107,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->request = query.request;
   attempt->useful_until = query.useful_until;
+  attempt->usual = query.usual;
   attempt->priority = query.priority;
   attempt->done = [weak = weak_from_this(), number, granted, upstream,
                    at = std::weak_ptr(attempt)](AttemptResult result) {
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -54,6 +54,7 @@
   struct Query {
     std::shared_ptr<const OutboundRequest> request;
     TimePoint useful_until{};
+    Duration usual{};  // What one of its attempts takes on average.
     std::int64_t priority = 0;
     bool urgent = false;
     std::map<std::string, Shard, std::less<>> shards;  // By service.
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -66,11 +66,12 @@
   AbandonAttempts();
 }
 
-AttemptPtr RequestSession::NewAttempt(TimePoint useful_until,
+AttemptPtr RequestSession::NewAttempt(TimePoint useful_until, Duration usual,
                                       bool keep_headers) const {
   auto attempt = std::make_shared<Attempt>();
   attempt->request = outbound_;
   attempt->useful_until = useful_until;
+  attempt->usual = usual;
   attempt->priority = spec().priority;
   attempt->keep_headers = keep_headers;
   return attempt;
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -77,7 +77,8 @@
   void Finish(const ClientAnswer& answer, std::string_view outcome,
               std::string_view cause);
 
-  AttemptPtr NewAttempt(TimePoint useful_until, bool keep_headers) const;
+  AttemptPtr NewAttempt(TimePoint useful_until, Duration usual,
+                        bool keep_headers) const;
 
   EdgeCore& core() const { return *options_.core; }
   const RouteSpec& spec() const { return *options_.route->spec; }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -107,7 +107,7 @@
 
 AttemptPtr ScatterSession::NewShardAttempt(std::size_t index,
                                            AttemptKind kind) {
-  const AttemptPtr attempt = NewAttempt(useful_until_, false);
+  const AttemptPtr attempt = NewAttempt(useful_until_, route().history->usual(), false);
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   attempt->done = [self, index, weak = std::weak_ptr(attempt),
@@ -147,6 +147,7 @@
     ask.useful_ms = ToMillis(useful_until_ - now);
     ask.priority = spec().priority;
     ask.urgent = is_urgent();
+    ask.usual_us = ToMicros(route().history->usual());
     // A relay that was asked before has the request.
     if (std::find(asked_.begin(), asked_.end(), grant.relay) == asked_.end()) {
       ask.head = outbound().head;
@@ -166,11 +167,8 @@
     // The relay has most likely asked this one.
     if (UpstreamPtr first = service.Preferred()) shard.tried.push_back(first);
   }
-  UpstreamPtr upstream = service.Choose(shard.tried, false, now);
-  // The first attempt also probes replicas that are backing off.
-  if (!upstream && kind == AttemptKind::kFirst) {
-    upstream = service.Choose(shard.tried, true, now);
-  }
+  const UpstreamPtr upstream = service.ChooseFor(
+      kind, {.tried = shard.tried, .usual = route().history->usual()}, now);
   if (!upstream) return false;
   if (kind == AttemptKind::kFirst) {
     service.OnFirstAttempt(now);
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -10,8 +10,8 @@
 namespace lacewingknot::edge {
 namespace {
 
-// Weight of the newest sample in the service's typical latency.
-constexpr double kTypicalWeight = 0.03;
+// Weight of the newest sample in the service's usual latency.
+constexpr double kUsualWeight = 0.03;
 
 // A service without a request for this long gets no connection ahead of one.
 constexpr Duration kInUse = std::chrono::seconds(15);
@@ -81,15 +81,14 @@
   return candidates;
 }
 
-UpstreamPtr Service::Choose(std::span<const UpstreamPtr> tried,
-                            bool even_backing_off, TimePoint now) {
-  std::vector<UpstreamPtr> candidates = Candidates(tried, subset_, now);
-  if (candidates.empty()) candidates = Candidates(tried, SIZE_MAX, now);
+UpstreamPtr Service::Choose(const Wish& wish, TimePoint now) {
+  std::vector<UpstreamPtr> candidates = Candidates(wish.tried, subset_, now);
+  if (candidates.empty()) candidates = Candidates(wish.tried, SIZE_MAX, now);
   std::vector<ReplicaLoad> loads;
   loads.reserve(candidates.size());
   for (const UpstreamPtr& upstream : candidates) {
-    loads.push_back(upstream->Load(typical_, now));
-    if (even_backing_off) loads.back().backing_off = false;
+    loads.push_back(upstream->Load(wish.usual, now));
+    if (wish.even_backing_off) loads.back().backing_off = false;
   }
   const auto chosen = ChooseReplica(loads, rotation_++, choice_);
   if (!chosen) return nullptr;
@@ -101,6 +100,13 @@
   return upstream;
 }
 
+UpstreamPtr Service::ChooseFor(AttemptKind kind, Wish wish, TimePoint now) {
+  UpstreamPtr upstream = Choose(wish, now);
+  if (upstream || kind != AttemptKind::kFirst) return upstream;
+  wish.even_backing_off = true;
+  return Choose(wish, now);
+}
+
 bool Service::WarmUp(TimePoint now) {
   if (limits_.cold_requests_per_second > 0) return false;
   const UpstreamPtr first = Preferred();
@@ -108,8 +114,8 @@
 }
 
 void Service::NoteLatency(Duration latency) {
-  typical_ += std::chrono::duration_cast<Duration>((latency - typical_) *
-                                                   kTypicalWeight);
+  usual_ +=
+      std::chrono::duration_cast<Duration>((latency - usual_) * kUsualWeight);
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -66,10 +66,16 @@
   // is none.
   UpstreamPtr Preferred() const;
 
-  // The upstream for one more attempt, none of `tried`; null if there is none.
-  // One that is backing off is taken only if `even_backing_off`.
-  UpstreamPtr Choose(std::span<const UpstreamPtr> tried, bool even_backing_off,
-                     TimePoint now);
+  struct Wish {
+    std::span<const UpstreamPtr> tried;  // Not again one of these.
+    bool even_backing_off = false;       // Also one that is backing off.
+    Duration usual{};  // What such a request takes on average.
+  };
+  // The upstream for one more attempt; null if there is none.
+  UpstreamPtr Choose(const Wish& wish, TimePoint now);
+  // The same; a first attempt also probes replicas that are backing off if
+  // there is no other.
+  UpstreamPtr ChooseFor(AttemptKind kind, Wish wish, TimePoint now);
 
   // Opens a connection to the upstream that requests go to first, if it has
   // none. Returns whether it did.
@@ -86,6 +92,8 @@
   }
 
   void NoteLatency(Duration latency);
+  // What a request takes here on average.
+  Duration usual() const { return usual_; }
 
  private:
   // Usable upstreams among the first `subset` that were not tried yet.
@@ -102,7 +110,7 @@
   std::map<const Upstream*, ColdGate> cold_gates_;
   ExtraWindow budget_;
   ReplicaChoiceOptions choice_;
-  Duration typical_ = std::chrono::milliseconds(20);
+  Duration usual_ = std::chrono::milliseconds(20);
   std::size_t rotation_ = 0;
   TimePoint last_attempt_{};
   std::size_t subset_ = SIZE_MAX;
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -7,8 +7,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-// Weight of the newest sample in the smoothed values.
-constexpr double kLatencyWeight = 0.2;
+// Weight of the newest attempt in the share of failures.
 constexpr double kFailureWeight = 0.15;
 
 double Seconds(Duration duration) {
@@ -220,7 +219,7 @@
   constexpr int kServerErrors = 500;
   switch (result.end) {
     case AttemptEnd::kAnswered:
-      NoteLatency(latency, now);
+      slowness_.Add(latency, attempt.usual, now);
       if (result.reply.status >= kServerErrors) {
         RaiseFailureShare(now);
       } else {
@@ -233,7 +232,7 @@
       return;
     case AttemptEnd::kNotSent:
     case AttemptEnd::kLost:
-      NoteLatency(latency, now);
+      slowness_.Add(latency, attempt.usual, now);
       if (result.cause == "abandoned") {
         // Other connections to a silent upstream are likely silent too.
         CloseIdle("silent");
@@ -243,16 +242,6 @@
   }
 }
 
-void Upstream::NoteLatency(Duration latency, TimePoint now) {
-  latency_at_ = now;
-  if (latency_ == Duration::zero()) {
-    latency_ = latency;
-    return;
-  }
-  latency_ += std::chrono::duration_cast<Duration>((latency - latency_) *
-                                                   kLatencyWeight);
-}
-
 void Upstream::RaiseFailureShare(TimePoint now) {
   failure_share_ += kFailureWeight * (1 - failure_share_);
   failure_at_ = now;
@@ -299,7 +288,7 @@
                       });
 }
 
-ReplicaLoad Upstream::Load(Duration typical, TimePoint now) const {
+ReplicaLoad Upstream::Load(Duration usual, TimePoint now) const {
   ReplicaLoad load;
   load.slots = options_.record.slots;
   load.local = options_.local;
@@ -311,13 +300,8 @@
     load.oldest_in_flight =
         std::max(load.oldest_in_flight, now - connection->attempt()->sent_at);
   }
-  const double kept =
-      std::exp2(-Seconds(now - latency_at_) / kForgetHalfLifeSeconds);
-  load.expected = typical;
-  if (latency_ != Duration::zero()) {
-    load.expected +=
-        std::chrono::duration_cast<Duration>((latency_ - typical) * kept);
-  }
+  load.expected =
+      std::chrono::duration_cast<Duration>(usual * slowness_.Factor(now));
   const double failures =
       failure_share_ *
       std::exp2(-Seconds(now - failure_at_) / kForgetHalfLifeSeconds);
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -24,6 +24,7 @@
 #include "lacewingknot/edge/upstream_connection.h"
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/replica_choice.h"
+#include "lacewingknot/policy/slowness.h"
 
 namespace lacewingknot::edge {
 
@@ -75,9 +76,8 @@
   // Closes idle connections and, as they end, busy ones.
   void Retire();
 
-  // `typical` is what a request takes on average at its service; an upstream
-  // that is not used drifts towards it.
-  ReplicaLoad Load(Duration typical, TimePoint now) const;
+  // `usual` is what such a request takes on average.
+  ReplicaLoad Load(Duration usual, TimePoint now) const;
 
   bool local() const { return options_.local; }
   const UpstreamRecord& record() const { return options_.record; }
@@ -101,7 +101,7 @@
   // Time for which an address is left alone after it answered as another
   // upstream. The directory names a new one long before.
   static constexpr Duration kMisdirectedTime = std::chrono::seconds(6);
-  // Half-life of what is believed of an upstream that is not used.
+  // Half-life of the failures of an upstream that is not used.
   static constexpr double kForgetHalfLifeSeconds = 3.0;
 
   void Dispatch();
@@ -113,7 +113,6 @@
   void OnExchange(const AttemptPtr& attempt, AttemptResult result);
   void NoteOutcome(const Attempt& attempt, const AttemptResult& result,
                    TimePoint now);
-  void NoteLatency(Duration latency, TimePoint now);
   void NoteFailure(std::string_view cause, TimePoint now);
   void RaiseFailureShare(TimePoint now);
   void NoteSuccess();
@@ -132,8 +131,7 @@
   std::deque<AttemptPtr> queue_;
   bool dispatching_ = false;
   bool dispatch_again_ = false;
-  Duration latency_{};  // Smoothed; zero until the first answer.
-  TimePoint latency_at_{};
+  Slowness slowness_;
   double failure_share_ = 0;  // Smoothed share of failed attempts.
   TimePoint failure_at_{};
   int failures_in_row_ = 0;
--- a/lacewingknot/policy/latency_window.cc
+++ b/lacewingknot/policy/latency_window.cc
@@ -7,7 +7,7 @@
 constexpr double kMinMicros = 50;
 constexpr double kMaxMicros = 60'000'000;
 
-double ToMicros(Duration latency) {
+double Micros(Duration latency) {
   return std::chrono::duration<double, std::micro>(latency).count();
 }
 
@@ -26,7 +26,7 @@
     current_ = Empty();
     current_count_ = 0;
   }
-  current_(ToMicros(latency));
+  current_(Micros(latency));
   ++current_count_;
 }
 
--- a/lacewingknot/policy/membership.cc
+++ b/lacewingknot/policy/membership.cc
@@ -59,14 +59,14 @@
   return std::nullopt;
 }
 
-std::vector<Member> Membership::Recent(Duration recency, TimePoint now) const {
-  std::vector<Member> recent;
+std::vector<Member> Membership::Alive(TimePoint now) const {
+  std::vector<Member> alive;
   for (const auto& [address, known] : known_) {
-    if (address == self_ || now - known.heard_at <= recency) {
-      recent.push_back(known.member);
+    if (address == self_ || now - known.heard_at <= kForgetAfter) {
+      alive.push_back(known.member);
     }
   }
-  return recent;
+  return alive;
 }
 
 std::size_t Membership::Known(TimePoint now) {
--- a/lacewingknot/policy/membership.h
+++ b/lacewingknot/policy/membership.h
@@ -60,9 +60,9 @@
   // Another member; none if none is known.
   std::optional<std::string_view> PickPeer(std::mt19937_64& random) const;
 
-  // Members heard of within `recency`, in the order of their addresses, this
+  // Members heard of within kForgetAfter, in the order of their addresses, this
   // daemon included.
-  std::vector<Member> Recent(Duration recency, TimePoint now) const;
+  std::vector<Member> Alive(TimePoint now) const;
 
   // Members heard of lately, this daemon included.
   std::size_t Known(TimePoint now);
--- a/lacewingknot/policy/worst_hour_test.cc
+++ b/lacewingknot/policy/worst_hour_test.cc
@@ -19,6 +19,7 @@
 #include "lacewingknot/policy/extra_window.h"
 #include "lacewingknot/policy/partial_answer.h"
 #include "lacewingknot/policy/replica_choice.h"
+#include "lacewingknot/policy/slowness.h"
 
 namespace lacewingknot {
 namespace {
@@ -29,6 +30,7 @@
 constexpr std::size_t kShards = 20;
 constexpr std::size_t kReplicas = 2;
 constexpr std::int64_t kSlots = 2;
+constexpr Duration kUsual = milliseconds(20);
 constexpr Duration kTarget = milliseconds(150);
 constexpr Duration kAnswerBy = milliseconds(135);
 constexpr Duration kDeadline = milliseconds(1'485);
@@ -62,12 +64,11 @@
   ReplicaLoad Load(TimePoint now) {
     std::erase_if(running_, [&](const Running& one) {
       if (one.done > now) return false;
-      const Duration latency = one.done - one.sent;
-      expected_ +=
-          std::chrono::duration_cast<Duration>((latency - expected_) * 0.2);
+      slowness_.Add(one.done - one.sent, kUsual, one.done);
       return true;
     });
-    ReplicaLoad load{.expected = expected_,
+    ReplicaLoad load{.expected = std::chrono::duration_cast<Duration>(
+                         kUsual * slowness_.Factor(now)),
                      .in_flight = static_cast<std::int64_t>(running_.size()),
                      .slots = kSlots,
                      .local = true};
@@ -104,7 +105,7 @@
   double speed_;
   std::vector<TimePoint> free_at_ = std::vector<TimePoint>(kSlots);
   std::vector<Running> running_;
-  Duration expected_ = milliseconds(20);
+  Slowness slowness_;
 };
 
 struct Totals {
