Tests of relays; a shard with one replica is asked here when its relay cannot

Cause: Relay_KnowsNoService_ShardsAreAskedHere failed: the replica that a relay most likely asked was left out even if it is the only one, so its shard was lost. Now it is left out only where there is another.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -34,8 +34,8 @@
     : usual_(Share(target_latency, kFirstUsualShare)) {}
 
 void RouteHistory::OnAttempt(Duration latency) {
-  usual_ += Share(std::min(latency, usual_ * kMostUsualRise) - usual_,
-                  kUsualWeight);
+  usual_ +=
+      Share(std::min(latency, usual_ * kMostUsualRise) - usual_, kUsualWeight);
   window_.Add(latency);
   if (++since_update_ < kSamplesPerUpdate) return;
   since_update_ = 0;
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -121,8 +121,8 @@
   for (const Member& member : members) {
     data_centres.insert(member.data_centre);
     if (member.data_centre != options_.settings.data_centre) continue;
-    candidates.push_back({.address = member.address,
-                          .processor_share = member.processor_share});
+    candidates.push_back(
+        {.address = member.address, .processor_share = member.processor_share});
   }
   Post([this, ranking = RelayRanking(candidates),
         count = data_centres.size()]() mutable {
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -80,8 +80,7 @@
                       .Register(*registry_);
   for (std::size_t end = 0; end < kAttemptEnds; ++end) {
     relayed_[end] = &relayed.Add(
-        {{"end",
-          std::string(AttemptEndName(static_cast<AttemptEnd>(end)))}});
+        {{"end", std::string(AttemptEndName(static_cast<AttemptEnd>(end)))}});
   }
   for (std::size_t kind = 0; kind < kAttemptKinds; ++kind) {
     const std::string kind_name(
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -142,7 +142,8 @@
   reader.Address(root, "store", true, settings.store);
   reader.Peers(root);
   reader.Level(root);
-  reader.Number(root, "processor_share", 0.001, 1'000, settings.processor_share);
+  reader.Number(root, "processor_share", 0.001, 1'000,
+                settings.processor_share);
   reader.Number(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
   reader.Number(root, "extra_load.attempts", 0, 1e6, settings.extra_attempts);
   reader.Span<std::chrono::duration<double>>(root, "stop.grace_seconds", 0.5,
--- a/lacewingknot/edge/internal/listening.cc
+++ b/lacewingknot/edge/internal/listening.cc
@@ -17,9 +17,9 @@
   if (!error) acceptor.bind(endpoint.value(), error);
   if (!error) acceptor.listen(socket_base::max_listen_connections, error);
   if (error) {
-    return Error{ErrorType::kConnectFailed, "cannot listen on " +
-                                                std::string(listen) + ": " +
-                                                error.message()};
+    return Error{
+        ErrorType::kConnectFailed,
+        "cannot listen on " + std::string(listen) + ": " + error.message()};
   }
   return Ok();
 }
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -20,8 +20,8 @@
 // Every so many rounds a seed is asked besides, to heal a fleet that was split.
 constexpr std::uint64_t kSeedEvery = 8;
 
-using WireMember = std::tuple<std::string, std::uint64_t, std::uint64_t,
-                              std::string, double>;
+using WireMember =
+    std::tuple<std::string, std::uint64_t, std::uint64_t, std::string, double>;
 using WireMessage = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t,
                                std::vector<WireMember>>;
 
@@ -66,11 +66,10 @@
     : options_(std::move(options)),
       socket_(io),
       timer_(io),
-      members_(
-          {.address = options_.listen,
-           .incarnation = options_.incarnation,
-           .data_centre = options_.data_centre,
-           .processor_share = options_.processor_share}),
+      members_({.address = options_.listen,
+                .incarnation = options_.incarnation,
+                .data_centre = options_.data_centre,
+                .processor_share = options_.processor_share}),
       random_(options_.random_seed) {}
 
 Result<void> PeerGossip::Start() {
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -14,16 +14,15 @@
   const auto endpoint = ParseEndpoint(options_.address);
   if (!endpoint) return;  // A peer's own word; it names nobody.
   const auto socket = std::make_shared<asio::ip::tcp::socket>(*options_.io);
-  socket->async_connect(
-      endpoint.value(),
-      [self = shared_from_this(), socket](boost::system::error_code error) {
-        if (self->retired_) return;
-        if (error) {
-          self->ReconnectLater();
-        } else {
-          self->OnConnected(std::move(*socket));
-        }
-      });
+  socket->async_connect(endpoint.value(), [self = shared_from_this(), socket](
+                                              boost::system::error_code error) {
+    if (self->retired_) return;
+    if (error) {
+      self->ReconnectLater();
+    } else {
+      self->OnConnected(std::move(*socket));
+    }
+  });
   options_.timers->At(BootClock::now() + kConnectTimeout,
                       [self = shared_from_this(), socket] {
                         boost::system::error_code ignored;
@@ -90,18 +89,17 @@
 void RelayLink::CheckSilence() {
   if (checking_ || !unheard_since_) return;
   checking_ = true;
-  options_.timers->At(*unheard_since_ + kDeadAfter,
-                      [self = shared_from_this()] {
-                        self->checking_ = false;
-                        if (!self->channel_ || !self->unheard_since_) return;
-                        if (BootClock::now() - *self->unheard_since_ <
-                            kDeadAfter) {
-                          self->CheckSilence();
-                          return;
-                        }
-                        self->channel_->Close();
-                        self->OnLost("silent");
-                      });
+  options_.timers->At(
+      *unheard_since_ + kDeadAfter, [self = shared_from_this()] {
+        self->checking_ = false;
+        if (!self->channel_ || !self->unheard_since_) return;
+        if (BootClock::now() - *self->unheard_since_ < kDeadAfter) {
+          self->CheckSilence();
+          return;
+        }
+        self->channel_->Close();
+        self->OnLost("silent");
+      });
 }
 
 void RelayLink::Forget(std::uint64_t number) {
--- a/lacewingknot/edge/relay_link.h
+++ b/lacewingknot/edge/relay_link.h
@@ -73,7 +73,7 @@
 
   Options options_;
   bool retired_ = false;
-  bool closing_ = false;  // The relay stops.
+  bool closing_ = false;                   // The relay stops.
   std::shared_ptr<RelayChannel> channel_;  // Null while there is none.
   std::unordered_map<std::uint64_t, AttemptPtr> waiting_;
   std::uint64_t next_number_ = 1;
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -62,9 +62,10 @@
       attempts.emplace_back(attempt.number, attempt.service,
                             static_cast<std::uint32_t>(attempt.kind));
     }
-    msgpack::pack(bytes, WireAsk(kAsk, ask.query, ask.head, ask.body,
-                                 ask.request_id, ask.useful_ms, ask.usual_us,
-                                 ask.priority, ask.urgent, std::move(attempts)));
+    msgpack::pack(bytes,
+                  WireAsk(kAsk, ask.query, ask.head, ask.body, ask.request_id,
+                          ask.useful_ms, ask.usual_us, ask.priority, ask.urgent,
+                          std::move(attempts)));
   }
   void operator()(const RelayResults& message) const {
     std::vector<WireResult> results;
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -48,11 +48,11 @@
   query.usual = std::chrono::microseconds(ask.usual_us);
   query.priority = ask.priority;
   query.urgent = ask.urgent;
-  options_.core->timers().At(
-      query.useful_until + kForgetAfter,
-      [weak = weak_from_this(), number = ask.query] {
-        if (const auto self = weak.lock()) self->Forget(number);
-      });
+  options_.core->timers().At(query.useful_until + kForgetAfter,
+                             [weak = weak_from_this(), number = ask.query] {
+                               if (const auto self = weak.lock())
+                                 self->Forget(number);
+                             });
   return query;
 }
 
@@ -135,8 +135,8 @@
   Shard& shard = query.shards[service_name];
   std::erase_if(shard.live,
                 [&](const Live& live) { return live.attempt == attempt; });
-  const bool is_part =
-      result.end == AttemptEnd::kAnswered && IsSuccessStatus(result.reply.status);
+  const bool is_part = result.end == AttemptEnd::kAnswered &&
+                       IsSuccessStatus(result.reply.status);
   if (result.end == AttemptEnd::kAnswered) {
     if (const ServicePtr service = core.FindService(service_name)) {
       service->NoteLatency(now - attempt->submitted_at);
@@ -146,13 +146,14 @@
     query.outstanding -= shard.live.size();
     AbandonLive(shard);
   } else {
-    LogEvent(Event::kRelayAttemptFailed, {{"id", query.request->request_id},
-                                          {"service", service_name},
-                                          {"upstream", upstream->record().id},
-                                          {"kind", AttemptKindName(granted.kind)},
-                                          {"end", AttemptEndName(result.end)},
-                                          {"status", result.reply.status},
-                                          {"cause", result.cause}});
+    LogEvent(Event::kRelayAttemptFailed,
+             {{"id", query.request->request_id},
+              {"service", service_name},
+              {"upstream", upstream->record().id},
+              {"kind", AttemptKindName(granted.kind)},
+              {"end", AttemptEndName(result.end)},
+              {"status", result.reply.status},
+              {"cause", result.cause}});
   }
   Note(number, query,
        {.number = granted.number,
@@ -179,14 +180,15 @@
 void RelaySession::Gather(std::uint64_t number, Query& query) {
   if (query.gathering) return;
   query.gathering = true;
-  options_.core->timers().At(
-      BootClock::now() + kGather, [weak = weak_from_this(), number] {
-        const auto self = weak.lock();
-        if (!self) return;
-        const auto found = self->queries_.find(number);
-        if (found == self->queries_.end()) return;
-        if (found->second.gathering) self->Flush(number, found->second);
-      });
+  options_.core->timers().At(BootClock::now() + kGather,
+                             [weak = weak_from_this(), number] {
+                               const auto self = weak.lock();
+                               if (!self) return;
+                               const auto found = self->queries_.find(number);
+                               if (found == self->queries_.end()) return;
+                               if (found->second.gathering)
+                                 self->Flush(number, found->second);
+                             });
 }
 
 void RelaySession::Flush(std::uint64_t number, Query& query) {
--- /dev/null
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -0,0 +1,217 @@
+// Queries whose shards are asked through a relay, with a proxy between the two
+// daemons that harms their connection.
+
+#include "lacewingknot/edge/relay_session.h"
+
+#include "lacewingknot/edge/relay_server.h"
+#include "testing/edge_fixture.h"
+#include "testing/fault_proxy.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FakeConnection;
+using testing::FakeReply;
+using testing::FakeRequest;
+using testing::FaultProxy;
+
+using At = const std::shared_ptr<FakeConnection>&;
+
+std::string Record(char lead) {
+  return std::string(1, lead) + "123456789abcdef";
+}
+
+class RelaySessionTest : public testing::EdgeFixture {
+ protected:
+  RelaySessionTest()
+      : relay_core_({.io = &io_,
+                     .names = &names_,
+                     .metrics = &relay_metrics_,
+                     .started_at = BootClock::now() - std::chrono::minutes(1),
+                     .data_centre = "here",
+                     .extra_ratio = 0.2,
+                     .extra_attempts = 100}),
+        relay_({.core = &relay_core_, .listen = "127.0.0.1:0"}) {
+    EXPECT_TRUE(relay_.Listen().has_value());
+    proxy_.emplace(io_, relay_.port());
+  }
+
+  // The routes that the entry knows are also the relay's.
+  void Share() {
+    relay_core_.ApplyRouting(core_.routes()->table);
+    relay_core_.ApplyDirectory(std::make_shared<Directory>(*core_.directory()));
+  }
+
+  // The relay comes first for every group. The others do not listen.
+  void UseRelay() {
+    std::vector<RelayCandidate> candidates{
+        {.address = "127.0.0.1:" + std::to_string(proxy_->port()),
+         .processor_share = 1e6}};
+    for (std::size_t i = 1; i < RelayRanking::kLeastDaemons; ++i) {
+      candidates.push_back({.address = "127.0.0.1:" + std::to_string(i)});
+    }
+    core_.set_relays(RelayRanking(candidates), "127.0.0.1:9999", 1);
+    RunUntil(
+        [&] { return core_.relays().For(0, BootClock::now()) != nullptr; });
+  }
+
+  static RouteSpec Route() {
+    RouteSpec route = ScatterRoute({"a", "b"});
+    route.target_latency = milliseconds(400);
+    return route;
+  }
+
+  // Attempts at upstreams that a daemon made.
+  static bool MadeAttempts(const EdgeMetrics& metrics) {
+    constexpr std::string_view kLine =
+        "attempts_total{end=\"answered\",kind=\"first\"} ";
+    const std::string text = metrics.Render();
+    const auto found = text.find(kLine);
+    return found != std::string::npos && text[found + kLine.size()] != '0';
+  }
+
+  EdgeMetrics relay_metrics_;
+  EdgeCore relay_core_;
+  RelayServer relay_;
+  std::optional<FaultProxy> proxy_;
+};
+
+TEST_F(RelaySessionTest, Query_WithARelay_IsAnsweredThroughIt) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  Share();
+  UseRelay();
+  const HttpReply reply = Call("/s/1");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, Record('z') + Record('k'));
+  EXPECT_EQ(reply.header("X-Missing"), "0");
+  EXPECT_TRUE(MadeAttempts(relay_metrics_));
+  EXPECT_FALSE(MadeAttempts(metrics_));
+}
+
+TEST_F(RelaySessionTest, Relay_LosesItsConnection_QueryIsAnsweredWhole) {
+  auto& held = AddUpstream("a", Silent());
+  auto& other = AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  Share();
+  UseRelay();
+  testing::RawClient client(io_, server_.port());
+  // Until the relay has asked the replica that does not answer.
+  for (int i = 0; held.seen.empty(); ++i) {
+    client.Write("GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: q" +
+                 std::to_string(i) + "\r\n\r\n");
+    RunFor(milliseconds(60));
+  }
+  const std::string id = held.seen.back().header("X-Id");
+  proxy_->set_fault(FaultProxy::Fault::kReset);
+  RunUntil(
+      [&] { return client.received().find(": " + id) != std::string::npos; });
+  const auto arrivals = std::count_if(
+      other.seen.begin(), other.seen.end(),
+      [&](const FakeRequest& seen) { return seen.header("X-Id") == id; });
+  EXPECT_EQ(arrivals, 1);
+  EXPECT_EQ(client.received().find("X-Missing: 1"), std::string::npos);
+}
+
+TEST_F(RelaySessionTest, Relay_Silent_ShardsAreAskedHereInTime) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", Answers(Record('z')));
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  Share();
+  UseRelay();
+  proxy_->set_fault(FaultProxy::Fault::kSilent);
+  const TimePoint began = BootClock::now();
+  EXPECT_EQ(Call("/s/1", "id-1").header("X-Missing"), "0");
+  EXPECT_LT(BootClock::now() - began, milliseconds(390));
+  EXPECT_TRUE(MadeAttempts(relay_metrics_) ||
+              upstreams_[0].seen.size() + upstreams_[1].seen.size() == 1);
+  // From now on it is passed over.
+  const TimePoint again = BootClock::now();
+  EXPECT_EQ(Call("/s/1", "id-2").header("X-Missing"), "0");
+  EXPECT_LT(BootClock::now() - again, milliseconds(100));
+}
+
+TEST_F(RelaySessionTest, Replicas_AllFail_AttemptsKeepToTheRoutesLimit) {
+  const Handler fails = [](const FakeRequest& request, At at) {
+    FakeReply reply = Answer(request, Record('x'));
+    reply.status = 500;
+    at->Reply(reply);
+  };
+  for (int i = 0; i < 4; ++i) AddUpstream("a", fails);
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  Share();
+  UseRelay();
+  EXPECT_EQ(Call("/s/1").header("X-Missing"), "1");
+  std::size_t arrivals = 0;
+  for (int i = 0; i < 4; ++i) arrivals += upstreams_[i].seen.size();
+  EXPECT_EQ(arrivals, 2U);
+}
+
+TEST_F(RelaySessionTest, Relay_KnowsNoService_ShardsAreAskedHere) {
+  AddUpstream("a", Answers(Record('k')));
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  UseRelay();
+  EXPECT_EQ(Call("/s/1").header("X-Missing"), "0");
+  EXPECT_FALSE(MadeAttempts(relay_metrics_));
+}
+
+TEST_F(RelaySessionTest, Client_Leaves_RelayAbandonsItsAttempts) {
+  bool gone = false;
+  auto& upstream = AddUpstream("a", [&](const FakeRequest&, At at) {
+    at->set_on_gone([&] { gone = true; });
+  });
+  AddUpstream("b", Answers(Record('z')));
+  Publish({Route()});
+  Share();
+  UseRelay();
+  testing::RawClient client(io_, server_.port());
+  client.Write("GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: q\r\n\r\n");
+  RunUntil([&] { return !upstream.seen.empty(); });
+  client.Close();
+  const TimePoint left = BootClock::now();
+  RunUntil([&] { return gone; });
+  EXPECT_LT(BootClock::now() - left, milliseconds(500));
+}
+
+TEST_F(RelaySessionTest, Relay_Stops_FinishesAndIsAskedNoMore) {
+  std::shared_ptr<FakeConnection> held;
+  FakeRequest asked;
+  AddUpstream("a", [&](FakeRequest request, At at) {
+    if (held) {
+      at->Reply(Answer(request, Record('k')));
+      return;
+    }
+    asked = std::move(request);
+    held = at;
+  });
+  Publish({ScatterRoute({"a"})});
+  Share();
+  UseRelay();
+  testing::RawClient client(io_, server_.port());
+  client.Write("GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: q\r\n\r\n");
+  RunUntil([&] { return held != nullptr; });
+  relay_.AnnounceStop();
+  RunUntil([&] { return core_.relays().For(0, BootClock::now()) == nullptr; });
+  held->Reply(Answer(asked, Record('k')));
+  RunUntil([&] { return !client.received().empty(); });
+  EXPECT_NE(client.received().find("X-Missing: 0"), std::string::npos);
+  EXPECT_FALSE(MadeAttempts(metrics_));
+  EXPECT_EQ(Call("/s/1", "id-2").header("X-Missing"), "0");
+  EXPECT_TRUE(MadeAttempts(metrics_));
+}
+
+TEST_F(RelaySessionTest, Stranger_OnThePort_IsCutOff) {
+  testing::RawClient stranger(io_, relay_.port());
+  stranger.Write("GET / HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  RunUntil([&] { return stranger.closed(); });
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/relay_table.cc
+++ b/lacewingknot/edge/relay_table.cc
@@ -23,10 +23,8 @@
   for (const std::string& address : wanted) {
     RelayLinkPtr& link = links_[address];
     if (link) continue;
-    link = std::make_shared<RelayLink>(
-        RelayLink::Options{.io = options_.io,
-                           .timers = options_.timers,
-                           .address = address});
+    link = std::make_shared<RelayLink>(RelayLink::Options{
+        .io = options_.io, .timers = options_.timers, .address = address});
     link->Open();
   }
 }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/edge/scatter_session.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "lacewingknot/policy/record_merge.h"
@@ -46,11 +47,11 @@
 
 QueryProgress ScatterSession::Progress() const {
   return {.shards = shards_.size(),
-                         .answered = answered_,
-                         .lost = lost_,
-                         .min_share = spec().min_share,
-                         .answer_by = answer_by_,
-                         .deadline = deadline()};
+          .answered = answered_,
+          .lost = lost_,
+          .min_share = spec().min_share,
+          .answer_by = answer_by_,
+          .deadline = deadline()};
 }
 
 void ScatterSession::Lose(Shard& shard, std::string_view cause) {
@@ -107,7 +108,8 @@
 
 AttemptPtr ScatterSession::NewShardAttempt(std::size_t index,
                                            AttemptKind kind) {
-  const AttemptPtr attempt = NewAttempt(useful_until_, route().history->usual(), false);
+  const AttemptPtr attempt =
+      NewAttempt(useful_until_, route().history->usual(), false);
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   attempt->done = [self, index, weak = std::weak_ptr(attempt),
@@ -121,9 +123,9 @@
                                   TimePoint now) {
   Shard& shard = shards_[index];
   if (query_number_ == 0) query_number_ = core().NextQueryNumber();
-  auto grant = std::find_if(
-      grants_.begin(), grants_.end(),
-      [&](const Grant& one) { return one.relay == shard.relay; });
+  auto grant =
+      std::find_if(grants_.begin(), grants_.end(),
+                   [&](const Grant& one) { return one.relay == shard.relay; });
   if (grant == grants_.end()) {
     grants_.push_back({.relay = shard.relay});
     grant = grants_.end() - 1;
@@ -159,16 +161,24 @@
   }
 }
 
+UpstreamPtr ScatterSession::ChooseHere(Service& service, const Shard& shard,
+                                       AttemptKind kind, TimePoint now) const {
+  const Duration usual = route().history->usual();
+  if (shard.was_relayed && shard.tried.empty()) {
+    // Not the one that the relay has most likely asked, if there is another.
+    const std::array likely{service.Preferred()};
+    const UpstreamPtr other =
+        service.ChooseFor(kind, {.tried = likely, .usual = usual}, now);
+    if (other) return other;
+  }
+  return service.ChooseFor(kind, {.tried = shard.tried, .usual = usual}, now);
+}
+
 bool ScatterSession::PlaceHere(std::size_t index, AttemptKind kind,
                                TimePoint now) {
   Shard& shard = shards_[index];
   Service& service = *route().services[index];
-  if (shard.was_relayed && shard.tried.empty()) {
-    // The relay has most likely asked this one.
-    if (UpstreamPtr first = service.Preferred()) shard.tried.push_back(first);
-  }
-  const UpstreamPtr upstream = service.ChooseFor(
-      kind, {.tried = shard.tried, .usual = route().history->usual()}, now);
+  const UpstreamPtr upstream = ChooseHere(service, shard, kind, now);
   if (!upstream) return false;
   if (kind == AttemptKind::kFirst) {
     service.OnFirstAttempt(now);
@@ -233,8 +243,9 @@
                               std::string_view cause, TimePoint now) {
   Shard& shard = shards_[index];
   if (cause == kCauseNoBudget) ++denied_;
-  // What the relay knows of the shard is of no use here.
   shard.relay = nullptr;
+  // It has asked nobody, if this was the only attempt.
+  shard.was_relayed = shard.runs + shard.refusals > 0 || !shard.live.empty();
   return shard.live.empty() && PlaceHere(index, kind, now);
 }
 
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -67,6 +67,8 @@
   // False if no replica can be asked.
   bool Place(std::size_t index, AttemptKind kind, TimePoint now);
   bool PlaceHere(std::size_t index, AttemptKind kind, TimePoint now);
+  UpstreamPtr ChooseHere(Service& service, const Shard& shard, AttemptKind kind,
+                         TimePoint now) const;
   AttemptPtr NewShardAttempt(std::size_t index, AttemptKind kind);
   void GrantToRelay(std::size_t index, AttemptKind kind, TimePoint now);
   void SendGrants(TimePoint now);
@@ -81,7 +83,7 @@
   // Nothing more can arrive for `shard`.
   void Lose(Shard& shard, std::string_view cause);
   static void NoteFailure(Shard& shard, const AttemptPtr& attempt,
-                   const AttemptResult& result);
+                          const AttemptResult& result);
   bool TakePart(Shard& shard, AttemptResult& result);
   void OnFailedAttempt(std::size_t index, const AttemptResult& result,
                        TimePoint now);
--- /dev/null
+++ b/lacewingknot/policy/relay_choice_test.cc
@@ -0,0 +1,108 @@
+#include "lacewingknot/policy/relay_choice.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace lacewingknot {
+namespace {
+
+std::vector<RelayCandidate> Daemons(std::size_t count) {
+  std::vector<RelayCandidate> daemons;
+  for (std::size_t i = 0; i < count; ++i) {
+    daemons.push_back({.address = "10.1.0." + std::to_string(i) + ":7380"});
+  }
+  return daemons;
+}
+
+// Whether `address` is a relay of any group.
+bool IsRelay(const RelayRanking& ranking, const std::string& address) {
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    const auto relays = ranking.Relays(group);
+    if (std::find(relays.begin(), relays.end(), address) != relays.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST(RelayRankingTest, Daemons_Few_AskDirectly) {
+  EXPECT_TRUE(RelayRanking().empty());
+  EXPECT_TRUE(RelayRanking(Daemons(RelayRanking::kLeastDaemons - 1)).empty());
+}
+
+TEST(RelayRankingTest, Group_EnoughDaemons_HasDifferentRelays) {
+  const RelayRanking ranking(Daemons(25));
+  ASSERT_FALSE(ranking.empty());
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    const auto relays = ranking.Relays(group);
+    ASSERT_EQ(relays.size(), RelayRanking::kRanks);
+    EXPECT_NE(relays[0], relays[1]);
+  }
+}
+
+TEST(RelayRankingTest, Ranking_MembersInAnotherOrder_IsTheSame) {
+  auto daemons = Daemons(25);
+  const RelayRanking one(daemons);
+  std::reverse(daemons.begin(), daemons.end());
+  const RelayRanking other(daemons);
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    EXPECT_TRUE(std::ranges::equal(one.Relays(group), other.Relays(group)));
+  }
+}
+
+RC_GTEST_PROP(RelayRankingProperty, Daemon_Lost_MovesOnlyItsOwnGroups, ()) {
+  auto daemons = Daemons(
+      *rc::gen::inRange<std::size_t>(RelayRanking::kLeastDaemons + 1, 60));
+  const RelayRanking before(daemons);
+  const auto lost = *rc::gen::inRange<std::size_t>(0, daemons.size());
+  const std::string address = daemons[lost].address;
+  daemons.erase(daemons.begin() + static_cast<std::ptrdiff_t>(lost));
+  const RelayRanking after(daemons);
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    const auto old = before.Relays(group);
+    if (std::find(old.begin(), old.end(), address) != old.end()) continue;
+    RC_ASSERT(std::ranges::equal(old, after.Relays(group)));
+  }
+  RC_ASSERT(!IsRelay(after, address));
+}
+
+TEST(RelayRankingTest, Daemon_WithMoreProcessor_IsARelayMoreOften) {
+  std::size_t large = 0;
+  std::size_t small = 0;
+  for (int fleet = 0; fleet < 200; ++fleet) {
+    std::vector<RelayCandidate> daemons;
+    for (int i = 0; i < 24; ++i) {
+      daemons.push_back(
+          {.address = std::to_string(fleet) + "." + std::to_string(i) + ":7380",
+           .processor_share = i < 12 ? 0.5 : 0.125});
+    }
+    const RelayRanking ranking(daemons);
+    for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+      const std::string& first = ranking.Relays(group).front();
+      const auto found = std::find_if(
+          daemons.begin(), daemons.end(),
+          [&](const RelayCandidate& one) { return one.address == first; });
+      ++(found - daemons.begin() < 12 ? large : small);
+    }
+  }
+  EXPECT_NEAR(static_cast<double>(large) / static_cast<double>(small), 4, 1);
+}
+
+TEST(RelayRankingTest, Services_Many_AreDividedEvenly) {
+  std::map<std::size_t, int> count;
+  constexpr int kServices = 800;
+  for (int i = 0; i < kServices; ++i) {
+    ++count[RelayRanking::GroupOf("service-" + std::to_string(i))];
+  }
+  ASSERT_EQ(count.size(), RelayRanking::kGroups);
+  for (const auto& [group, services] : count) {
+    EXPECT_NEAR(services, kServices / RelayRanking::kGroups, 40);
+  }
+}
+
+}  // namespace
+}  // namespace lacewingknot
--- a/lacewingknot/policy/slowness.cc
+++ b/lacewingknot/policy/slowness.cc
@@ -7,8 +7,8 @@
 
 void Slowness::Add(Duration latency, Duration usual, TimePoint now) {
   if (usual <= Duration::zero()) return;
-  const double sample = static_cast<double>(latency.count()) /
-                        static_cast<double>(usual.count());
+  const double sample =
+      static_cast<double>(latency.count()) / static_cast<double>(usual.count());
   const bool same_burst = now - last_at_ < kBurst;
   if (!same_burst) before_ = Factor(now);
   least_ = same_burst ? std::min(least_, sample) : sample;
--- a/lacewingknot/policy/worst_hour_test.cc
+++ b/lacewingknot/policy/worst_hour_test.cc
@@ -137,7 +137,7 @@
     TimePoint now(std::chrono::hours(1));
     for (const TimePoint end = now + seconds(30); now < end;
          now += std::chrono::duration_cast<Duration>(
-             std::chrono::duration<double>(gap(random_)))) {
+             std::chrono::duration<double>(gap(arrivals_)))) {
       RunHedges(now);
       Start(now);
     }
@@ -239,6 +239,8 @@
   const Pattern& pattern_;
   bool simple_;
   std::mt19937_64 random_{20261204};
+  // Of their own, so that both policies get the same queries.
+  std::mt19937_64 arrivals_{20261205};
   std::vector<Replica> replicas_;
   std::vector<ExtraWindow> budget_;
   std::vector<Query> queries_;
