--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -75,31 +75,29 @@
   const auto fleet = static_cast<double>(fleet_size_);
   service.set_extra_load(
       {.ratio = options_.extra_ratio * kRatioUsed,
-       .fixed = options_.extra_attempts * kFixedUsed / fleet});
+       .fixed = OwnPart(service, options_.extra_attempts * kFixedUsed)});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
-  const std::int64_t quota = ConnectionQuota(service);
+  const auto limit = static_cast<double>(service.limits().max_connections);
+  const auto quota = std::max<std::int64_t>(
+      1, static_cast<std::int64_t>(OwnPart(service, limit)));
   for (const UpstreamPtr& upstream : service.upstreams()) {
     upstream->set_connection_quota(quota);
   }
   // Replicas that this daemon may connect to, so that all daemons together
   // keep to the limit of each.
   const double replicas = static_cast<double>(service.upstreams().size());
-  const double subset =
-      static_cast<double>(service.limits().max_connections) * replicas / fleet;
+  const double subset = limit * replicas / fleet;
   service.set_subset(relays_.IsOwn(service.relay_group())
                          ? SIZE_MAX
                          : static_cast<std::size_t>(std::max(1.0, subset)));
 }
 
-std::int64_t EdgeCore::ConnectionQuota(const Service& service) const {
-  const auto limit = static_cast<double>(service.limits().max_connections);
-  double quota = limit / static_cast<double>(fleet_size_);
-  if (shards_.count(service.name()) > 0 &&
-      relays_.IsOwn(service.relay_group())) {
-    quota = limit * kRelayConnections /
-            static_cast<double>(data_centres_ * RelayRanking::kRanks);
+double EdgeCore::OwnPart(const Service& service, double allowance) const {
+  if (!relays_.in_use() || shards_.count(service.name()) == 0) {
+    return allowance / static_cast<double>(fleet_size_);
   }
-  return std::max<std::int64_t>(1, static_cast<std::int64_t>(quota));
+  return PartOfAllowance(allowance, relays_.OwnRank(service.relay_group()),
+                         fleet_size_, data_centres_);
 }
 
 void EdgeCore::ApplyAllShares() {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -123,10 +123,6 @@
   static constexpr Duration kWarmInterval = std::chrono::milliseconds(250);
   static constexpr std::size_t kWarmAtOnce = 16;
 
-  // Part of an upstream's connections that relays use; the rest is for daemons
-  // that ask directly while a relay is lost.
-  static constexpr double kRelayConnections = 0.5;
-
   void Warm();
   ServicePtr ServiceNamed(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
@@ -134,7 +130,8 @@
   void UpdateUsable();
   void ApplyShares(Service& service);
   void ApplyAllShares();
-  std::int64_t ConnectionQuota(const Service& service) const;
+  // This daemon's part of what the fleet may use of `service`.
+  double OwnPart(const Service& service, double allowance) const;
 
   Options options_;
   TimerQueue timers_;
--- a/lacewingknot/edge/relay_table.cc
+++ b/lacewingknot/edge/relay_table.cc
@@ -40,9 +40,11 @@
   return nullptr;
 }
 
-bool RelayTable::IsOwn(std::size_t group) const {
+std::optional<std::size_t> RelayTable::OwnRank(std::size_t group) const {
   const auto relays = ranking_.Relays(group);
-  return std::find(relays.begin(), relays.end(), self_) != relays.end();
+  const auto own = std::find(relays.begin(), relays.end(), self_);
+  if (own == relays.end()) return std::nullopt;
+  return static_cast<std::size_t>(own - relays.begin());
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/relay_table.h
+++ b/lacewingknot/edge/relay_table.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "lacewingknot/edge/relay_link.h"
@@ -30,8 +31,10 @@
   // asks them itself, because it is a relay of the group or none is usable.
   RelayLinkPtr For(std::size_t group, TimePoint now) const;
 
+  // This daemon's place among the group's relays; none if it is no relay.
+  std::optional<std::size_t> OwnRank(std::size_t group) const;
   // Whether others may ask the group's shards through this daemon.
-  bool IsOwn(std::size_t group) const;
+  bool IsOwn(std::size_t group) const { return OwnRank(group).has_value(); }
   // Whether the data centre's daemons ask through relays at all.
   bool in_use() const { return !ranking_.empty(); }
 
--- a/lacewingknot/policy/relay_choice.cc
+++ b/lacewingknot/policy/relay_choice.cc
@@ -13,6 +13,12 @@
 // Least weight, so that a share of zero takes part in the ranking.
 constexpr double kLeastWeight = 1e-3;
 
+// Parts of an allowance that go to the first and second relays of all data
+// centres. The rest is for daemons that ask directly while a relay is lost; a
+// first and a second relay have that part too.
+constexpr std::array<double, RelayRanking::kRanks> kPartOfRank{0.5, 0.2};
+constexpr double kPartOfOthers = 0.3;
+
 // Weighted rendezvous hashing: the highest score wins, in proportion to weight.
 double Score(const RelayCandidate& candidate, std::size_t group) {
   const std::uint64_t hash = XXH3_64bits_withSeed(
@@ -29,6 +35,14 @@
   return XXH3_64bits(service.data(), service.size()) % kGroups;
 }
 
+double PartOfAllowance(double allowance, std::optional<std::size_t> rank,
+                       std::size_t daemons, std::size_t data_centres) {
+  const double each = allowance / static_cast<double>(daemons);
+  if (!rank) return each * kPartOfOthers;
+  return each * kPartOfOthers +
+         allowance * kPartOfRank[*rank] / static_cast<double>(data_centres);
+}
+
 RelayRanking::RelayRanking(std::span<const RelayCandidate> candidates) {
   if (candidates.size() < kLeastDaemons) return;
   for (std::size_t group = 0; group < kGroups; ++group) {
--- a/lacewingknot/policy/relay_choice.h
+++ b/lacewingknot/policy/relay_choice.h
@@ -20,6 +20,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,6 +61,20 @@
   std::array<std::vector<std::string>, kGroups> relays_;
 };
 
+// This daemon's part of an allowance that the whole fleet shares for one
+// service (connections of an upstream, extra attempts in a window).
+//
+// Load pattern: relays make nearly all attempts at a shard; the others only
+// those that a lost relay leaves behind. Equal parts would leave most of the
+// allowance with daemons that never ask, while retries are denied where half of
+// the replicas lose answers at once.
+//
+// `rank`: this daemon's place among the relays of the service's group; none if
+// it is no relay. The parts of all daemons add up to at most `allowance` if
+// they agree on the ranking.
+double PartOfAllowance(double allowance, std::optional<std::size_t> rank,
+                       std::size_t daemons, std::size_t data_centres);
+
 }  // namespace lacewingknot
 
 #endif  // LACEWINGKNOT_POLICY_RELAY_CHOICE_H_
--- a/lacewingknot/policy/relay_choice_test.cc
+++ b/lacewingknot/policy/relay_choice_test.cc
@@ -104,5 +104,26 @@
   }
 }
 
+RC_GTEST_PROP(PartOfAllowanceProperty, Parts_OfAllDaemons_KeepToTheAllowance,
+              ()) {
+  const auto data_centres = *rc::gen::inRange<std::size_t>(1, 7);
+  const auto in_each =
+      *rc::gen::inRange<std::size_t>(RelayRanking::kLeastDaemons, 100);
+  const std::size_t daemons = data_centres * in_each;
+  constexpr double kAllowance = 190;
+  const auto others = static_cast<double>(in_each - RelayRanking::kRanks);
+  double sum =
+      others * PartOfAllowance(kAllowance, std::nullopt, daemons, data_centres);
+  for (std::size_t rank = 0; rank < RelayRanking::kRanks; ++rank) {
+    sum += PartOfAllowance(kAllowance, rank, daemons, data_centres);
+  }
+  RC_ASSERT(sum * static_cast<double>(data_centres) <= kAllowance * 1.0001);
+}
+
+// The daemons that make the attempts have most of what may be spent on them.
+TEST(PartOfAllowanceTest, FirstRelay_LargeFleet_HasMostOfTheAllowance) {
+  EXPECT_GT(PartOfAllowance(152, 0, 75, 3), 10 * 152.0 / 75);
+}
+
 }  // namespace
 }  // namespace lacewingknot
