--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 14> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 15> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -21,6 +21,7 @@
                                                       "peers",
                                                       "store",
                                                       "store_max_staleness_ms",
+                                                      "changes_in_force_ms",
                                                       "log_level",
                                                       "processor_share",
                                                       "extra_load",
@@ -151,6 +152,8 @@
   reader.Span<std::chrono::duration<double, std::milli>>(
       root, "store_max_staleness_ms", 1'500, 60'000,
       settings.store_max_staleness);
+  reader.Span<std::chrono::duration<double, std::milli>>(
+      root, "changes_in_force_ms", 500, 60'000, settings.changes_in_force);
   for (const auto& [key, node] : root) {
     if (std::find(kKnownKeys.begin(), kKnownKeys.end(), key.str()) ==
         kKnownKeys.end()) {
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -12,6 +12,7 @@
 //   processor_share = 0.25              # part of a processor that it has
 //   log_level = "info"
 //   store_max_staleness_ms = 4000       # age of what is known of the store
+//   changes_in_force_ms = 3000          # a change of the store takes effect in
 //   [extra_load]                        # of the whole fleet, for each service
 //   ratio = 0.2
 //   attempts = 52
@@ -45,6 +46,7 @@
   std::vector<std::string> peers;
   std::string store;
   Duration store_max_staleness = std::chrono::milliseconds(4'000);
+  Duration changes_in_force = std::chrono::milliseconds(3'000);
   LogLevel log_level = LogLevel::kInfo;
   double processor_share = 1;
   double extra_ratio = 0.1;
--- a/lacewingknot/edge/edge_settings_test.cc
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -16,6 +16,8 @@
 peers = ["10.1.0.9:8106", "10.2.0.9:8106"]
 store = "10.200.1.7:8102"
 store_max_staleness_ms = 5000
+changes_in_force_ms = 5000
+processor_share = 0.12
 log_level = "warning"
 [extra_load]
 ratio = 0.2
@@ -44,6 +46,8 @@
   EXPECT_EQ(parsed.settings.log_level, LogLevel::kWarning);
   EXPECT_EQ(parsed.settings.stop_grace, std::chrono::seconds(6));
   EXPECT_EQ(parsed.settings.store_max_staleness, std::chrono::seconds(5));
+  EXPECT_EQ(parsed.settings.changes_in_force, std::chrono::seconds(5));
+  EXPECT_DOUBLE_EQ(parsed.settings.processor_share, 0.12);
   EXPECT_DOUBLE_EQ(parsed.settings.extra_attempts, 52);
 }
 
