--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -96,6 +96,7 @@
             {"outcome", outcome},
             {"cause", cause},
             {"ms", ToMillis(latency)},
+            {"lag_ms", ToMillis(core().timers().lag())},
             {"detail", LogDetails()}});
 }
 
