Hedge delay from the time to a shard's answer, overtaken attempts included

Attempts that a hedge overtook left no sample, so the delay sank among the others. Ruled out: lag of the VM's own timers (0 ms at the median).

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -36,7 +36,10 @@
 void RouteHistory::OnAttempt(Duration latency) {
   usual_ +=
       Share(std::min(latency, usual_ * kMostUsualRise) - usual_, kUsualWeight);
-  window_.Add(latency);
+}
+
+void RouteHistory::OnShard(Duration since_start) {
+  window_.Add(since_start);
   if (++since_update_ < kSamplesPerUpdate) return;
   since_update_ = 0;
   quantile_ = window_.Quantile(kHedgeQuantile).value_or(Duration::zero());
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -35,6 +35,11 @@
 
   // Adds the latency of an attempt that was answered.
   void OnAttempt(Duration latency);
+  // Adds the time from a query's start to a shard's answer, whichever attempt
+  // gave it, or to the query's end without one. Latencies of the attempts that
+  // answered would leave out those that a hedge overtook: the delay would fall,
+  // and more would be overtaken.
+  void OnShard(Duration since_start);
 
   // What an attempt takes on average.
   Duration usual() const { return usual_; }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -219,6 +219,7 @@
     anything_ran_ = true;
   }
   if (TakePart(shard, result)) {
+    route().history->OnShard(now - started_at());
     AbandonLive(shard);
   } else {
     NoteFailure(shard, attempt, result);
@@ -366,7 +367,11 @@
   core().timers().Cancel(answer_timer_);
   core().timers().Cancel(deadline_timer_);
   AbandonAtRelays();
-  for (Shard& shard : shards_) AbandonLive(shard);
+  const Duration passed = BootClock::now() - started_at();
+  for (Shard& shard : shards_) {
+    if (!shard.live.empty()) route().history->OnShard(passed);
+    AbandonLive(shard);
+  }
 }
 
 void ScatterSession::AbandonAtRelays() {
