--- a/lacewingknot/ctl/commands.cc
+++ b/lacewingknot/ctl/commands.cc
@@ -1,49 +1,20 @@
 #include "lacewingknot/ctl/commands.h"
 
-#include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
-#include "lacewingknot/http/client.h"
+#include "lacewingknot/ctl/internal/asking.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot::ctl {
 namespace {
 
+using internal::Ask;
+using internal::kHttpOk;
+using internal::PrintFaults;
+using internal::ReadFile;
 using nlohmann::json;
 
-constexpr Duration kTimeout = std::chrono::seconds(65);
-constexpr int kHttpOk = 200;
-
-Result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return Error{ErrorType::kInvalidRequest, path + ": cannot be read"};
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-// Sends one request; prints why if the daemon cannot be reached.
-Result<ClientReply> Ask(const std::string& daemon, const std::string& method,
-                        const std::string& target, const std::string& body,
-                        Output& output) {
-  try {
-    Result<ClientReply> reply =
-        HttpClient(daemon, kTimeout).SendAndWait(method, target, body);
-    if (!reply) {
-      output.err << "lacewingknotctl: " << daemon << ": "
-                 << reply.error().detail << "\n";
-    }
-    return reply;
-  } catch (const std::exception& error) {
-    output.err << "lacewingknotctl: " << daemon << ": " << error.what() << "\n";
-    return Error{ErrorType::kInvalidRequest, error.what()};
-  }
-}
-
 void PrintRefusal(const json& answer, Output& output) {
   const json& error = answer.at("error");
   output.err << "refused: " << error.value("type", "") << " ("
@@ -51,25 +22,6 @@
              << "\n";
 }
 
-void PrintFaults(const std::string& file,
-                 const std::vector<SettingsFault>& faults, Output& output) {
-  if (!output.json) {
-    for (const SettingsFault& fault : faults) {
-      output.err << FormatFault(file, fault) << "\n";
-    }
-    return;
-  }
-  json all = json::array();
-  for (const SettingsFault& fault : faults) {
-    all.push_back({{"file", file},
-                   {"line", fault.line},
-                   {"key", fault.key},
-                   {"problem", fault.problem},
-                   {"accepted", fault.accepted}});
-  }
-  output.out << json{{"faults", all}}.dump() << "\n";
-}
-
 Result<std::string> ReadDocument(const std::string& file,
                                  const std::string& daemon, Output& output) {
   if (!file.empty()) {
--- /dev/null
+++ b/lacewingknot/ctl/edge_commands.cc
@@ -0,0 +1,92 @@
+#include "lacewingknot/ctl/edge_commands.h"
+
+#include <iomanip>
+#include <nlohmann/json.hpp>
+
+#include "lacewingknot/ctl/internal/asking.h"
+#include "lacewingknot/edge/edge_settings.h"
+
+namespace lacewingknot::ctl {
+namespace {
+
+using nlohmann::json;
+
+// Columns of text output.
+constexpr int kNameWidth = 24;
+constexpr int kAddressWidth = 22;
+constexpr int kReasonWidth = 14;
+
+// Asks for a JSON document; empty, and the reason printed, if there is none.
+Result<json> AskForJson(const std::string& daemon, const std::string& target,
+                        Output& output) {
+  BOOST_OUTCOME_TRY(reply, internal::Ask(daemon, "GET", target, "", output));
+  json document = json::parse(reply.body, nullptr, false);
+  if (reply.status == internal::kHttpOk && !document.is_discarded()) {
+    return document;
+  }
+  output.err << "lacewingknotctl: " << daemon << ": " << reply.body;
+  return Error{ErrorType::kInvalidRequest,
+               "status " + std::to_string(reply.status)};
+}
+
+}  // namespace
+
+int CheckEdge(const std::string& file, Output output) {
+  const Result<std::string> text = internal::ReadFile(file);
+  if (!text) {
+    output.err << text.error().detail << "\n";
+    return kExitUsage;
+  }
+  const auto parsed = edge::ParseEdgeSettings(text.value());
+  if (!parsed.faults.empty()) {
+    internal::PrintFaults(file, parsed.faults, output);
+    return kExitNegative;
+  }
+  for (const std::string& key : parsed.ignored) {
+    output.err << file << ": " << key << ": not known, ignored\n";
+  }
+  output.out << file << ": vm " << parsed.settings.vm << ", data centre "
+             << parsed.settings.data_centre << "\n";
+  return kExitOk;
+}
+
+int EdgeStatus(const std::string& daemon, Output output) {
+  const auto status = AskForJson(daemon, "/status", output);
+  if (!status) return kExitUsage;
+  if (output.json) {
+    output.out << status.value().dump() << "\n";
+    return kExitOk;
+  }
+  for (const auto& [name, value] : status.value().items()) {
+    output.out << std::left << std::setw(kNameWidth) << name << value << "\n";
+  }
+  return kExitOk;
+}
+
+int ExplainEdge(const std::string& daemon, const std::string& service,
+                Output output) {
+  const auto asked = AskForJson(daemon, "/explain?service=" + service, output);
+  if (!asked) return kExitNegative;
+  const json& answer = asked.value();
+  if (output.json) {
+    output.out << answer.dump() << "\n";
+    return kExitOk;
+  }
+  const std::string through = answer.value("asked_through", "");
+  output.out << "asked through         "
+             << (through.empty() ? "this daemon" : through) << "\n"
+             << "extra attempts left   " << answer.at("extra_attempts_left")
+             << "\n";
+  for (const json& upstream : answer.at("upstreams")) {
+    output.out << std::left << std::setw(kNameWidth) << upstream.value("id", "")
+               << std::setw(kAddressWidth) << upstream.value("address", "")
+               << std::setw(kReasonWidth) << upstream.value("reason", "")
+               << "slowness " << upstream.at("slowness") << ", failures "
+               << upstream.at("failure_share") << ", in flight "
+               << upstream.at("in_flight") << ", queued "
+               << upstream.at("queued") << "\n";
+  }
+  return kExitOk;
+}
+
+}  // namespace lacewingknot::ctl
--- /dev/null
+++ b/lacewingknot/ctl/internal/asking.h
@@ -0,0 +1,32 @@
+// What the commands do alike.
+
+#ifndef LACEWINGKNOT_CTL_INTERNAL_ASKING_H_
+#define LACEWINGKNOT_CTL_INTERNAL_ASKING_H_
+
+#include <string>
+#include <vector>
+
+#include "lacewingknot/base/error.h"
+#include "lacewingknot/ctl/commands.h"
+#include "lacewingknot/http/client.h"
+#include "lacewingknot/settings/tree.h"
+
+namespace lacewingknot::ctl::internal {
+
+inline constexpr int kHttpOk = 200;
+
+// kInvalidRequest if the file cannot be read.
+Result<std::string> ReadFile(const std::string& path);
+
+// Sends one request; prints why if the daemon cannot be reached.
+Result<ClientReply> Ask(const std::string& daemon, const std::string& method,
+                        const std::string& target, const std::string& body,
+                        Output& output);
+
+// Prints each fault with file, line, key and what is accepted.
+void PrintFaults(const std::string& file,
+                 const std::vector<SettingsFault>& faults, Output& output);
+
+}  // namespace lacewingknot::ctl::internal
+
+#endif  // LACEWINGKNOT_CTL_INTERNAL_ASKING_H_
--- a/lacewingknot/ctl/main.cc
+++ b/lacewingknot/ctl/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lacewingknot/ctl/commands.h"
+#include "lacewingknot/ctl/edge_commands.h"
 
 namespace {
 
@@ -22,6 +23,7 @@
     "  explain SERVICE     which upstreams a query would use now, and why\n"
     "  query SERVICE       send one query\n"
     "  write SERVICE       send one non-idempotent request\n"
+    "check, status and explain take --edge for daemons in the edge role.\n"
     "Exit status: 0 success, 1 faults or a partial, refused or unknown "
     "outcome, 2 usage or an unreachable daemon.";
 
@@ -32,6 +34,7 @@
   std::string file;
   RequestOptions request;
   bool json = false;
+  bool edge = false;
 };
 
 Arguments Parse(int argc, char** argv) {
@@ -53,6 +56,7 @@
   TCLAP::ValueArg<int> deadline("", "deadline-ms", "Deadline of the request",
                                 false, 0, "MS", command);
   TCLAP::SwitchArg json("j", "json", "Print JSON", command);
+  TCLAP::SwitchArg edge("e", "edge", "The daemon is in the edge role", command);
   command.parse(argc, argv);
   return {.command = name.getValue(),
           .argument = argument.getValue(),
@@ -62,13 +66,25 @@
                       .text = text.getValue(),
                       .id = id.getValue(),
                       .deadline_ms = deadline.getValue()},
-          .json = json.getValue()};
+          .json = json.getValue(),
+          .edge = edge.getValue()};
 }
 
-int Run(const Arguments& arguments) {
+using Commands = std::map<std::string, std::function<int()>>;
+
+Commands EdgeCommands(const Arguments& arguments, const Output& output) {
   namespace ctl = lacewingknot::ctl;
-  const Output output{std::cout, std::cerr, arguments.json};
-  const std::map<std::string, std::function<int()>> commands{
+  return {{"check", [&] { return ctl::CheckEdge(arguments.argument, output); }},
+          {"status", [&] { return ctl::EdgeStatus(arguments.daemon, output); }},
+          {"explain", [&] {
+             return ctl::ExplainEdge(arguments.daemon, arguments.argument,
+                                     output);
+           }}};
+}
+
+Commands QueryCommands(const Arguments& arguments, const Output& output) {
+  namespace ctl = lacewingknot::ctl;
+  return {
       {"check", [&] { return ctl::Check(arguments.argument, output); }},
       {"effective",
        [&] {
@@ -85,6 +101,13 @@
       {"write",
        [&] { return ctl::Write(arguments.daemon, arguments.request, output); }},
   };
+}
+
+int Run(const Arguments& arguments) {
+  namespace ctl = lacewingknot::ctl;
+  const Output output{std::cout, std::cerr, arguments.json};
+  const Commands commands = arguments.edge ? EdgeCommands(arguments, output)
+                                           : QueryCommands(arguments, output);
   const auto command = commands.find(arguments.command);
   if (command == commands.end()) {
     std::cerr << "lacewingknotctl: no command named " << arguments.command
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
@@ -9,11 +10,19 @@
 #include <utility>
 
 #include "lacewingknot/base/event_log.h"
+#include "lacewingknot/edge/explanation.h"
 
 namespace lacewingknot::edge {
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Readiness is answered on the same thread, once a second.
+constexpr std::chrono::milliseconds kExplainPatience{250};
+
+}  // namespace
+
 EdgeDaemon::EdgeDaemon(Options options)
     : options_(std::move(options)),
       core_({.io = &traffic_io_,
@@ -44,6 +53,13 @@
   control_.Handle("/status", [this](std::string_view) {
     return ControlReply{.content_type = "application/json", .body = Status()};
   });
+  control_.Handle("/explain", [this](std::string_view query) {
+    constexpr std::string_view kParameter = "service=";
+    if (!query.starts_with(kParameter)) {
+      return ControlReply{.status = 400, .body = "needs ?service=NAME\n"};
+    }
+    return Explain(query.substr(kParameter.size()));
+  });
   const EdgeSettings& settings = options_.settings;
   for (const std::string& address :
        {settings.readiness_listen, settings.control_listen,
@@ -187,6 +203,23 @@
   return status.dump() + "\n";
 }
 
+ControlReply EdgeDaemon::Explain(std::string_view service) {
+  // The traffic thread knows. It owns the promise, which outlives this call if
+  // that thread is slow.
+  const auto promise =
+      std::make_shared<std::promise<std::optional<ServiceExplanation>>>();
+  auto answer = promise->get_future();
+  Post([this, promise, name = std::string(service)] {
+    promise->set_value(ExplainService(core_, name, BootClock::now()));
+  });
+  if (answer.wait_for(kExplainPatience) != std::future_status::ready) {
+    return {.status = 503, .body = "the traffic thread does not answer\n"};
+  }
+  const auto explanation = answer.get();
+  if (!explanation) return {.status = 404, .body = "no such service\n"};
+  return {.content_type = "application/json", .body = ToJson(*explanation)};
+}
+
 void EdgeDaemon::Reload(const EdgeSettings& settings) {
   ConfigureLogging(settings.log_level, settings.vm);
   LogEvent(Event::kDaemonSettingsReloaded, {{"vm", settings.vm}});
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -64,6 +64,7 @@
   bool IsReady() const;
   void NoteReadiness();
   std::string Status() const;
+  ControlReply Explain(std::string_view service);
   void Post(std::function<void()> run);
 
   Options options_;
--- /dev/null
+++ b/lacewingknot/edge/explanation_test.cc
@@ -0,0 +1,57 @@
+#include "lacewingknot/edge/explanation.h"
+
+#include "testing/edge_fixture.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+class ExplanationTest : public testing::EdgeFixture {
+ protected:
+  std::string_view ReasonOf(const std::string& service, std::size_t index) {
+    const auto explanation = ExplainService(core_, service, BootClock::now());
+    EXPECT_TRUE(explanation.has_value());
+    return explanation->upstreams.at(index).reason;
+  }
+};
+
+TEST_F(ExplanationTest, Service_Unknown_IsNotExplained) {
+  EXPECT_FALSE(ExplainService(core_, "a", BootClock::now()).has_value());
+}
+
+TEST_F(ExplanationTest, Upstream_NothingKnown_IsGood) {
+  AddUpstream("a", Answers("x"));
+  Publish({PassRoute("a", Repeat::kIdempotent)});
+  EXPECT_EQ(ReasonOf("a", 0), "good");
+}
+
+TEST_F(ExplanationTest, Upstream_Draining_IsNamedSo) {
+  AddUpstream("a", Answers("x")).record.draining = true;
+  Publish({PassRoute("a", Repeat::kIdempotent)});
+  EXPECT_EQ(ReasonOf("a", 0), "draining");
+}
+
+TEST_F(ExplanationTest, Upstream_DataCentreOut_IsNamedSo) {
+  AddUpstream("a", Answers("x"));
+  evacuated_.insert("here");
+  Publish({PassRoute("a", Repeat::kIdempotent)});
+  EXPECT_EQ(ReasonOf("a", 0), "evacuated");
+}
+
+TEST_F(ExplanationTest, Upstream_NobodyListens_BacksOff) {
+  AddUpstream("a", Answers("x")).server->set_down(true);
+  Publish({PassRoute("a", Repeat::kIdempotent)});
+  for (int i = 0; i < 3; ++i) Call("/p/1", "id-" + std::to_string(i));
+  EXPECT_EQ(ReasonOf("a", 0), "backing_off");
+}
+
+TEST_F(ExplanationTest, Json_OfAService_NamesItsUpstreams) {
+  AddUpstream("a", Answers("x"));
+  Publish({PassRoute("a", Repeat::kIdempotent)});
+  const std::string text =
+      ToJson(*ExplainService(core_, "a", BootClock::now()));
+  EXPECT_NE(text.find(R"("id":"up-1")"), std::string::npos);
+  EXPECT_NE(text.find(R"("reason":"good")"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -91,6 +91,9 @@
     return budget_.TrySpend(need, now);
   }
 
+  // Extra attempts that retries may still spend.
+  double ExtraLeft(TimePoint now) const { return budget_.Left(now); }
+
   void NoteLatency(Duration latency);
   // What a request takes here on average.
   Duration usual() const { return usual_; }
--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -64,6 +64,10 @@
 
 void ExtraWindow::OnFirstAttempt(TimePoint now) { ++StepAt(now).first; }
 
+double ExtraWindow::Left(TimePoint now) const {
+  return std::max(0.0, Allowed(now) - Spent(now));
+}
+
 bool ExtraWindow::TrySpend(ExtraNeed need, TimePoint now) {
   if (Spent(now) + 1 > Allowed(now) * PartFor(need)) return false;
   ++StepAt(now).extra;
--- a/lacewingknot/policy/extra_window.h
+++ b/lacewingknot/policy/extra_window.h
@@ -52,6 +52,9 @@
 
   void OnFirstAttempt(TimePoint now);
 
+  // What retries may still spend.
+  double Left(TimePoint now) const;
+
   // Takes one extra attempt; false if `need` may not have it.
   bool TrySpend(ExtraNeed need, TimePoint now);
 
