--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -16,11 +16,11 @@
     case ExtraNeed::kNeededHedge:
       return 0.9;
     case ExtraNeed::kUrgentHedge:
-      return 0.8;
+      return 0.85;
     case ExtraNeed::kSpareRetry:
-      return 0.7;
+      return 0.92;
     case ExtraNeed::kHedge:
-      return 0.65;
+      return 0.75;
   }
   return 0;
 }
