--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -20,11 +20,10 @@
 constexpr std::uint32_t kAbandon = 3;
 constexpr std::uint32_t kClosing = 4;
 
-using WireAttempt =
-    std::tuple<std::uint64_t, std::string, std::uint32_t, std::uint32_t>;
+using WireAttempt = std::tuple<std::uint64_t, std::string, std::uint32_t>;
 using WireAsk = std::tuple<std::uint32_t, std::uint64_t, std::string,
                            std::string, std::string, std::int64_t, std::int64_t,
-                           std::int64_t, std::vector<WireAttempt>>;
+                           std::int64_t, bool, std::vector<WireAttempt>>;
 using WireResult =
     std::tuple<std::uint64_t, std::uint32_t, std::int32_t, std::string,
                std::string, std::string, std::string, std::string>;
@@ -61,12 +60,12 @@
     attempts.reserve(ask.attempts.size());
     for (const RelayAttempt& attempt : ask.attempts) {
       attempts.emplace_back(attempt.number, attempt.service,
-                            static_cast<std::uint32_t>(attempt.kind),
-                            static_cast<std::uint32_t>(attempt.need));
+                            static_cast<std::uint32_t>(attempt.kind));
     }
-    msgpack::pack(bytes, WireAsk(kAsk, ask.query, ask.head, ask.body,
-                                 ask.request_id, ask.useful_ms, ask.usual_us,
-                                 ask.priority, std::move(attempts)));
+    msgpack::pack(bytes,
+                  WireAsk(kAsk, ask.query, ask.head, ask.body, ask.request_id,
+                          ask.useful_ms, ask.usual_us, ask.priority, ask.urgent,
+                          std::move(attempts)));
   }
   void operator()(const RelayResults& message) const {
     std::vector<WireResult> results;
@@ -96,20 +95,20 @@
 
 RelayAsk AskFrom(const msgpack::object& object) {
   auto [kind, query, head, body, request_id, useful_ms, usual_us, priority,
-        attempts] = object.as<WireAsk>();
+        urgent, attempts] = object.as<WireAsk>();
   RelayAsk ask{.query = query,
                .head = std::move(head),
                .body = std::move(body),
                .request_id = std::move(request_id),
                .useful_ms = useful_ms,
                .usual_us = usual_us,
-               .priority = priority};
-  for (auto& [number, service, attempt_kind, need] : attempts) {
+               .priority = priority,
+               .urgent = urgent};
+  for (auto& [number, service, attempt_kind] : attempts) {
     ask.attempts.push_back(
         {.number = number,
          .service = std::move(service),
-         .kind = CheckedEnum<AttemptKind>(attempt_kind, kAttemptKinds),
-         .need = CheckedEnum<ExtraNeed>(need, kExtraNeeds)});
+         .kind = CheckedEnum<AttemptKind>(attempt_kind, kAttemptKinds)});
   }
   return ask;
 }
--- a/lacewingknot/edge/relay_messages.h
+++ b/lacewingknot/edge/relay_messages.h
@@ -18,7 +18,6 @@
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/edge/attempt.h"
-#include "lacewingknot/policy/extra_window.h"
 
 namespace lacewingknot::edge {
 
@@ -32,7 +31,6 @@
   std::uint64_t number = 0;  // Chosen by the sender; unique on the connection.
   std::string service;
   AttemptKind kind = AttemptKind::kFirst;
-  ExtraNeed need = ExtraNeed::kHedge;  // Of a hedge or retry.
 };
 
 // Asks for attempts. `head`, `body` and `request_id` are as in OutboundRequest.
@@ -44,6 +42,7 @@
   std::int64_t useful_ms = 0;  // Time left in which an answer is of use.
   std::int64_t usual_us = 0;   // What one of the attempts takes on average.
   std::int64_t priority = 0;
+  bool urgent = false;  // The objective leaves no time for a slow attempt.
   std::vector<RelayAttempt> attempts;
 };
 
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -47,6 +47,7 @@
   query.useful_until = now + std::chrono::milliseconds(ask.useful_ms);
   query.usual = std::chrono::microseconds(ask.usual_us);
   query.priority = ask.priority;
+  query.urgent = ask.urgent;
   options_.core->timers().At(query.useful_until + kForgetAfter,
                              [weak = weak_from_this(), number = ask.query] {
                                if (const auto self = weak.lock())
@@ -66,22 +67,21 @@
 }
 
 UpstreamPtr RelaySession::Choose(Service& service, const Shard& shard,
-                                 const Query& query,
-                                 const RelayAttempt& granted, TimePoint now,
-                                 std::string_view& cause) {
+                                 const Query& query, AttemptKind kind,
+                                 TimePoint now, std::string_view& cause) {
   if (now >= query.useful_until) {
     cause = kCauseExpired;
     return nullptr;
   }
   UpstreamPtr upstream = service.ChooseFor(
-      granted.kind, {.tried = shard.tried, .usual = query.usual}, now);
+      kind, {.tried = shard.tried, .usual = query.usual}, now);
   if (!upstream) {
     cause = kCauseNoReplica;
     return nullptr;
   }
-  if (granted.kind == AttemptKind::kFirst) {
+  if (kind == AttemptKind::kFirst) {
     service.OnFirstAttempt(now);
-  } else if (!service.TrySpendExtra(granted.need, now)) {
+  } else if (!service.TrySpendExtra(NeedOf(kind, query.urgent), now)) {
     cause = kCauseNoBudget;
     return nullptr;
   }
@@ -94,7 +94,8 @@
   std::string_view cause = kCauseNoReplica;
   const ServicePtr service = options_.core->FindService(granted.service);
   const UpstreamPtr upstream =
-      service ? Choose(*service, shard, query, granted, now, cause) : nullptr;
+      service ? Choose(*service, shard, query, granted.kind, now, cause)
+              : nullptr;
   if (!upstream) {
     Note(number, query,
          {.number = granted.number,
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -56,6 +56,7 @@
     TimePoint useful_until{};
     Duration usual{};  // What one of its attempts takes on average.
     std::int64_t priority = 0;
+    bool urgent = false;
     std::map<std::string, Shard, std::less<>> shards;  // By service.
     std::size_t outstanding = 0;
     std::vector<RelayResult> unsent;
@@ -70,8 +71,8 @@
              TimePoint now);
   // Null, and why, if the attempt cannot be made.
   static UpstreamPtr Choose(Service& service, const Shard& shard,
-                            const Query& query, const RelayAttempt& granted,
-                            TimePoint now, std::string_view& cause);
+                            const Query& query, AttemptKind kind, TimePoint now,
+                            std::string_view& cause);
   void OnResult(std::uint64_t number, const std::string& service_name,
                 const RelayAttempt& granted, const AttemptPtr& attempt,
                 const UpstreamPtr& upstream, AttemptResult result);
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -93,14 +93,8 @@
   Judge(now);
 }
 
-ExtraNeed ScatterSession::NeedOf(AttemptKind kind) const {
-  QueryProgress progress = Progress();
-  if (kind == AttemptKind::kRetry) {
-    // The shard that failed is lost without the retry.
-    ++progress.lost;
-    return NeedOfRetry(progress);
-  }
-  return NeedOfHedge(progress, spec().target_latency <= kUrgentObjective);
+bool ScatterSession::is_urgent() const {
+  return spec().target_latency <= kUrgentObjective;
 }
 
 bool ScatterSession::Place(std::size_t index, AttemptKind kind, TimePoint now) {
@@ -141,8 +135,7 @@
   const std::uint64_t number = shard.relay->Add(attempt);
   grant->ask.attempts.push_back({.number = number,
                                  .service = route().services[index]->name(),
-                                 .kind = kind,
-                                 .need = NeedOf(kind)});
+                                 .kind = kind});
   shard.live.push_back(
       {.attempt = attempt, .relay = shard.relay, .relay_number = number});
   shard.was_relayed = true;
@@ -155,6 +148,7 @@
     ask.query = query_number_;
     ask.useful_ms = ToMillis(useful_until_ - now);
     ask.priority = spec().priority;
+    ask.urgent = is_urgent();
     ask.usual_us = ToMicros(route().history->usual());
     // A relay that was asked before has the request.
     if (std::find(asked_.begin(), asked_.end(), grant.relay) == asked_.end()) {
@@ -188,7 +182,7 @@
   if (!upstream) return false;
   if (kind == AttemptKind::kFirst) {
     service.OnFirstAttempt(now);
-  } else if (!service.TrySpendExtra(NeedOf(kind), now)) {
+  } else if (!service.TrySpendExtra(NeedOf(kind, is_urgent()), now)) {
     ++denied_;
     core().metrics().OnHedgeDenied("budget");
     return false;
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -63,7 +63,7 @@
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
-  ExtraNeed NeedOf(AttemptKind kind) const;
+  bool is_urgent() const;
   // False if no replica can be asked.
   bool Place(std::size_t index, AttemptKind kind, TimePoint now);
   bool PlaceHere(std::size_t index, AttemptKind kind, TimePoint now);
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -18,6 +18,11 @@
 
 }  // namespace
 
+ExtraNeed NeedOf(AttemptKind kind, bool urgent) {
+  if (kind == AttemptKind::kRetry) return ExtraNeed::kRetry;
+  return urgent ? ExtraNeed::kUrgentHedge : ExtraNeed::kHedge;
+}
+
 Service::Service(Options options)
     : options_(std::move(options)),
       vm_hash_(XXH3_64bits(options_.vm.data(), options_.vm.size())),
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -19,6 +19,10 @@
 
 namespace lacewingknot::edge {
 
+// What an attempt of `kind` may take from the budget; `urgent` if the request's
+// objective leaves no time for a slow attempt.
+ExtraNeed NeedOf(AttemptKind kind, bool urgent);
+
 class Service {
  public:
   struct Options {
--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -13,12 +13,8 @@
   switch (need) {
     case ExtraNeed::kRetry:
       return 1.0;
-    case ExtraNeed::kNeededHedge:
-      return 0.9;
     case ExtraNeed::kUrgentHedge:
       return 0.85;
-    case ExtraNeed::kSpareRetry:
-      return 0.92;
     case ExtraNeed::kHedge:
       return 0.75;
   }
@@ -27,20 +23,6 @@
 
 }  // namespace
 
-ExtraNeed NeedOfRetry(const QueryProgress& progress) {
-  return IsSuccess(progress.shards - progress.lost, progress.shards,
-                   progress.min_share)
-             ? ExtraNeed::kSpareRetry
-             : ExtraNeed::kRetry;
-}
-
-ExtraNeed NeedOfHedge(const QueryProgress& progress, bool urgent) {
-  if (!IsSuccess(progress.answered, progress.shards, progress.min_share)) {
-    return ExtraNeed::kNeededHedge;
-  }
-  return urgent ? ExtraNeed::kUrgentHedge : ExtraNeed::kHedge;
-}
-
 std::int64_t ExtraWindow::NumberOf(TimePoint now) const {
   return now.time_since_epoch() /
          (limits_.length / static_cast<std::int64_t>(kSteps));
--- a/lacewingknot/policy/extra_window.h
+++ b/lacewingknot/policy/extra_window.h
@@ -8,10 +8,10 @@
 // In any window, extra attempts are at most `ratio` of the first attempts in it
 // plus `fixed`. A daemon that has just started has a quarter of the fixed part
 // and earns the rest over one window: the process before it may have spent its
-// own. When little is left it goes to those who need it most. Half of the
-// replicas refuse every second request: with a fifth of extra attempts each
-// query loses some shards, and those are worth most that decide whether it is
-// answered at all.
+// own. When little is left it
+// goes to those who need it most: a request whose shard would be lost may use
+// all of it, a hedge only a part, and one of a less urgent request a smaller
+// part.
 //
 // Not thread-safe; a value type.
 //
@@ -24,28 +24,18 @@
 #define LACEWINGKNOT_POLICY_EXTRA_WINDOW_H_
 
 #include <array>
-#include <cstddef>
 #include <cstdint>
 
 #include "lacewingknot/base/clock.h"
-#include "lacewingknot/policy/partial_answer.h"
 
 namespace lacewingknot {
 
 // Why an extra attempt is wanted, most needed first.
 enum class ExtraNeed {
   kRetry,        // Without it there is no answer.
-  kNeededHedge,  // The first attempt is slow; without it the answer is late.
   kUrgentHedge,  // The first attempt is slow; the request is urgent.
-  kSpareRetry,   // It failed; the answer is good enough without it.
   kHedge,        // The first attempt is slow.
 };
-inline constexpr std::size_t kExtraNeeds = 5;
-
-// What a second attempt at a shard is worth to its query, from the query's
-// progress. A failed shard counts in `lost` already.
-ExtraNeed NeedOfRetry(const QueryProgress& progress);
-ExtraNeed NeedOfHedge(const QueryProgress& progress, bool urgent);
 
 class ExtraWindow {
  public:
