--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -113,16 +113,13 @@
                    at = std::weak_ptr(attempt)](AttemptResult result) {
     const auto self = weak.lock();
     if (!self) return;
-    self->OnResult(number, granted.service, granted, at.lock(), upstream,
-                   std::move(result));
+    self->OnResult(number, granted, at.lock(), upstream, std::move(result));
   };
   shard.live.push_back({.attempt = attempt, .upstream = upstream});
   upstream->Submit(attempt);
 }
 
-void RelaySession::OnResult(std::uint64_t number,
-                            const std::string& service_name,
-                            const RelayAttempt& granted,
+void RelaySession::OnResult(std::uint64_t number, const RelayAttempt& granted,
                             const AttemptPtr& attempt,
                             const UpstreamPtr& upstream, AttemptResult result) {
   const TimePoint now = BootClock::now();
@@ -132,13 +129,13 @@
   const auto found = queries_.find(number);
   if (found == queries_.end()) return;
   Query& query = found->second;
-  Shard& shard = query.shards[service_name];
+  Shard& shard = query.shards[granted.service];
   std::erase_if(shard.live,
                 [&](const Live& live) { return live.attempt == attempt; });
   const bool is_part = result.end == AttemptEnd::kAnswered &&
                        IsSuccessStatus(result.reply.status);
   if (result.end == AttemptEnd::kAnswered) {
-    if (const ServicePtr service = core.FindService(service_name)) {
+    if (const ServicePtr service = core.FindService(granted.service)) {
       service->NoteLatency(now - attempt->submitted_at);
     }
   }
@@ -148,7 +145,7 @@
   } else {
     LogEvent(Event::kRelayAttemptFailed,
              {{"id", query.request->request_id},
-              {"service", service_name},
+              {"service", granted.service},
               {"upstream", upstream->record().id},
               {"kind", AttemptKindName(granted.kind)},
               {"end", AttemptEndName(result.end)},
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -73,9 +73,9 @@
   static UpstreamPtr Choose(Service& service, const Shard& shard,
                             const Query& query, AttemptKind kind, TimePoint now,
                             std::string_view& cause);
-  void OnResult(std::uint64_t number, const std::string& service_name,
-                const RelayAttempt& granted, const AttemptPtr& attempt,
-                const UpstreamPtr& upstream, AttemptResult result);
+  void OnResult(std::uint64_t number, const RelayAttempt& granted,
+                const AttemptPtr& attempt, const UpstreamPtr& upstream,
+                AttemptResult result);
   void Note(std::uint64_t number, Query& query, RelayResult result);
   void Gather(std::uint64_t number, Query& query);
   void Flush(std::uint64_t number, Query& query);
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -18,10 +18,6 @@
 
 using At = const std::shared_ptr<FakeConnection>&;
 
-std::string Record(char lead) {
-  return std::string(1, lead) + "123456789abcdef";
-}
-
 class RelaySessionTest : public testing::EdgeFixture {
  protected:
   RelaySessionTest()
--- a/lacewingknot/edge/scatter_session_test.cc
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -14,10 +14,6 @@
 
 using At = const std::shared_ptr<FakeConnection>&;
 
-std::string Record(char lead) {
-  return std::string(1, lead) + "123456789abcdef";
-}
-
 class ScatterSessionTest : public testing::EdgeFixture {};
 
 TEST_F(ScatterSessionTest, Shards_AllAnswer_GreatestRecordsComeFirst) {
--- a/testing/edge_fixture.cc
+++ b/testing/edge_fixture.cc
@@ -76,6 +76,10 @@
   return reply;
 }
 
+std::string EdgeFixture::Record(char lead) {
+  return std::string(1, lead) + "123456789abcdef";
+}
+
 EdgeFixture::Handler EdgeFixture::Answers(const std::string& body) {
   return [body](const FakeRequest& request,
                 const std::shared_ptr<FakeConnection>& at) {
--- a/testing/edge_fixture.h
+++ b/testing/edge_fixture.h
@@ -68,6 +68,8 @@
   ScriptedUpstream& AddUpstream(const std::string& service, Handler handler);
   // A whole answer to `request` with `body`, signed.
   static FakeReply Answer(const FakeRequest& request, std::string body);
+  // A record of 16 bytes that begins with `lead`.
+  static std::string Record(char lead);
   // Handler that answers at once with `body`.
   static Handler Answers(const std::string& body);
   // Handler that reads the request and stays silent.
