--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -50,8 +50,8 @@
   query.urgent = ask.urgent;
   options_.core->timers().At(query.useful_until + kForgetAfter,
                              [weak = weak_from_this(), number = ask.query] {
-                               if (const auto self = weak.lock())
-                                 self->Forget(number);
+                               const auto self = weak.lock();
+                               if (self) self->Forget(number);
                              });
   return query;
 }
@@ -180,14 +180,16 @@
   options_.core->timers().At(BootClock::now() + kGather,
                              [weak = weak_from_this(), number] {
                                const auto self = weak.lock();
-                               if (!self) return;
-                               const auto found = self->queries_.find(number);
-                               if (found == self->queries_.end()) return;
-                               if (found->second.gathering)
-                                 self->Flush(number, found->second);
+                               if (self) self->OnGathered(number);
                              });
 }
 
+void RelaySession::OnGathered(std::uint64_t number) {
+  const auto found = queries_.find(number);
+  if (found == queries_.end() || !found->second.gathering) return;
+  Flush(number, found->second);
+}
+
 void RelaySession::Flush(std::uint64_t number, Query& query) {
   query.gathering = false;
   channel_->Send(RelayResults{.query = number,
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -78,6 +78,7 @@
                 AttemptResult result);
   void Note(std::uint64_t number, Query& query, RelayResult result);
   void Gather(std::uint64_t number, Query& query);
+  void OnGathered(std::uint64_t number);
   void Flush(std::uint64_t number, Query& query);
   void Forget(std::uint64_t number);
   static void AbandonLive(Shard& shard);
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -108,7 +108,7 @@
 
 AttemptPtr ScatterSession::NewShardAttempt(std::size_t index,
                                            AttemptKind kind) {
-  const AttemptPtr attempt =
+  AttemptPtr attempt =
       NewAttempt(useful_until_, route().history->usual(), false);
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
@@ -167,7 +167,7 @@
   if (shard.was_relayed && shard.tried.empty()) {
     // Not the one that the relay has most likely asked, if there is another.
     const std::array likely{service.Preferred()};
-    const UpstreamPtr other =
+    UpstreamPtr other =
         service.ChooseFor(kind, {.tried = likely, .usual = usual}, now);
     if (other) return other;
   }
