--- a/lacewingknot/policy/extra_window.cc
+++ b/lacewingknot/policy/extra_window.cc
@@ -14,9 +14,9 @@
     case ExtraNeed::kRetry:
       return 1.0;
     case ExtraNeed::kUrgentHedge:
-      return 0.85;
+      return 0.7;
     case ExtraNeed::kHedge:
-      return 0.75;
+      return 0.55;
   }
   return 0;
 }
