A relay makes no attempt for a query whose request it never got

Cause: found by reading. A link that is lost and connects again within a query's useful time asks without the request, which the new connection has not seen; the relay would have sent headers without a request line. Test first red: Ask_OfAQueryThatIsNotKnown_ReachesNoUpstream.

--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -69,7 +69,8 @@
 UpstreamPtr RelaySession::Choose(Service& service, const Shard& shard,
                                  const Query& query, AttemptKind kind,
                                  TimePoint now, std::string_view& cause) {
-  if (now >= query.useful_until) {
+  // A link that came back does not send the request again.
+  if (query.request->head.empty() || now >= query.useful_until) {
     cause = kCauseExpired;
     return nullptr;
   }
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -203,6 +203,29 @@
   EXPECT_TRUE(MadeAttempts(metrics_));
 }
 
+// A link that was lost and came back asks for one attempt more of a query whose
+// request this relay never got.
+TEST_F(RelaySessionTest, Ask_OfAQueryThatIsNotKnown_ReachesNoUpstream) {
+  auto& upstream = AddUpstream("a", Answers(Record('k')));
+  Publish({ScatterRoute({"a"})});
+  Share();
+  testing::RawClient entry(io_, relay_.port());
+  entry.Write(EncodeRelayFrame(RelayAsk{
+      .query = 5,
+      .useful_ms = 1'000,
+      .usual_us = 10'000,
+      .attempts = {
+          {.number = 1, .service = "a", .kind = AttemptKind::kRetry}}}));
+  RunUntil([&] { return !entry.received().empty(); });
+  std::string received = entry.received();
+  const auto message = TakeRelayFrame(received);
+  ASSERT_TRUE(message.has_value() && message.value().has_value());
+  const auto& results = std::get<RelayResults>(*message.value()).results;
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].end, AttemptEnd::kNotSent);
+  EXPECT_TRUE(upstream.seen.empty());
+}
+
 TEST_F(RelaySessionTest, Stranger_OnThePort_IsCutOff) {
   testing::RawClient stranger(io_, relay_.port());
   stranger.Write("GET / HTTP/1.1\r\nHost: h.example\r\n\r\n");
--- a/lacewingknot/policy/relay_choice_test.cc
+++ b/lacewingknot/policy/relay_choice_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<RelayCandidate> Daemons(std::size_t count) {
   std::vector<RelayCandidate> daemons;
+  daemons.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     daemons.push_back({.address = "10.1.0." + std::to_string(i) + ":7380"});
   }
@@ -74,8 +75,10 @@
   std::size_t large = 0;
   std::size_t small = 0;
   for (int fleet = 0; fleet < 200; ++fleet) {
+    constexpr std::size_t kDaemons = 24;
     std::vector<RelayCandidate> daemons;
-    for (int i = 0; i < 24; ++i) {
+    daemons.reserve(kDaemons);
+    for (std::size_t i = 0; i < kDaemons; ++i) {
       daemons.push_back(
           {.address = std::to_string(fleet) + "." + std::to_string(i) + ":7380",
            .processor_share = i < 12 ? 0.5 : 0.125});
