--- a/lacewingknot/edge/relay_channel.h
+++ b/lacewingknot/edge/relay_channel.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "lacewingknot/edge/relay_messages.h"
 
@@ -51,6 +52,24 @@
   bool closed_ = false;
 };
 
+// Hooks that call `owner` as long as it lives, so that an owner and its channel
+// do not keep each other alive.
+template <typename Owner>
+RelayChannel::Options HooksTo(std::weak_ptr<Owner> owner,
+                              void (Owner::*on_message)(RelayMessage),
+                              void (Owner::*on_closed)(std::string_view)) {
+  return {.on_message =
+              [owner, on_message](RelayMessage message) {
+                const auto self = owner.lock();
+                if (self) (self.get()->*on_message)(std::move(message));
+              },
+          .on_closed =
+              [owner, on_closed](std::string_view cause) {
+                const auto self = owner.lock();
+                if (self) (self.get()->*on_closed)(cause);
+              }};
+}
+
 }  // namespace lacewingknot::edge
 
 #endif  // LACEWINGKNOT_EDGE_RELAY_CHANNEL_H_
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -36,17 +36,7 @@
   unheard_since_.reset();
   channel_ = std::make_shared<RelayChannel>(
       std::move(socket),
-      RelayChannel::Options{
-          .on_message =
-              [weak = weak_from_this()](RelayMessage message) {
-                if (const auto self = weak.lock()) {
-                  self->OnMessage(std::move(message));
-                }
-              },
-          .on_closed =
-              [weak = weak_from_this()](std::string_view cause) {
-                if (const auto self = weak.lock()) self->OnLost(cause);
-              }});
+      HooksTo(weak_from_this(), &RelayLink::OnMessage, &RelayLink::OnLost));
   channel_->Start();
   LogEvent(Event::kRelayConnected, {{"relay", options_.address}});
 }
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -8,22 +8,12 @@
 
 void RelaySession::Start(boost::asio::ip::tcp::socket socket) {
   channel_ = std::make_shared<RelayChannel>(
-      std::move(socket),
-      RelayChannel::Options{
-          .on_message =
-              [weak = weak_from_this()](RelayMessage message) {
-                if (const auto self = weak.lock()) {
-                  self->OnMessage(std::move(message));
-                }
-              },
-          .on_closed =
-              [weak = weak_from_this()](std::string_view /*cause*/) {
-                if (const auto self = weak.lock()) self->OnClosed();
-              }});
+      std::move(socket), HooksTo(weak_from_this(), &RelaySession::OnMessage,
+                                 &RelaySession::OnClosed));
   channel_->Start();
 }
 
-void RelaySession::OnClosed() {
+void RelaySession::OnClosed(std::string_view /*cause*/) {
   while (!queries_.empty()) Forget(queries_.begin()->first);
   if (options_.on_closed) options_.on_closed(this);
 }
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lacewingknot/edge/edge_core.h"
@@ -65,7 +66,7 @@
 
   void OnMessage(RelayMessage message);
   void OnAsk(RelayAsk ask);
-  void OnClosed();
+  void OnClosed(std::string_view cause);
   Query& QueryOf(RelayAsk& ask, TimePoint now);
   void Place(std::uint64_t number, Query& query, const RelayAttempt& granted,
              TimePoint now);
--- a/lacewingknot/edge/relay_table.cc
+++ b/lacewingknot/edge/relay_table.cc
@@ -27,15 +27,17 @@
         .io = options_.io, .timers = options_.timers, .address = address});
     link->Open();
   }
+  for (std::size_t group = 0; group < RelayRanking::kGroups; ++group) {
+    by_group_[group].clear();
+    for (const std::string& address : ranking_.Relays(group)) {
+      by_group_[group].push_back(address == self_ ? nullptr : links_[address]);
+    }
+  }
 }
 
 RelayLinkPtr RelayTable::For(std::size_t group, TimePoint now) const {
-  for (const std::string& address : ranking_.Relays(group)) {
-    if (address == self_) return nullptr;
-    const auto found = links_.find(address);
-    if (found != links_.end() && found->second->usable(now)) {
-      return found->second;
-    }
+  for (const RelayLinkPtr& link : by_group_[group]) {
+    if (!link || link->usable(now)) return link;
   }
   return nullptr;
 }
--- a/lacewingknot/edge/relay_table.h
+++ b/lacewingknot/edge/relay_table.h
@@ -5,10 +5,12 @@
 #ifndef LACEWINGKNOT_EDGE_RELAY_TABLE_H_
 #define LACEWINGKNOT_EDGE_RELAY_TABLE_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lacewingknot/edge/relay_link.h"
 #include "lacewingknot/policy/relay_choice.h"
@@ -43,6 +45,8 @@
   std::string self_;
   RelayRanking ranking_;
   std::map<std::string, RelayLinkPtr, std::less<>> links_;  // By address.
+  // Of each group, preferred ones first; null stands for this daemon.
+  std::array<std::vector<RelayLinkPtr>, RelayRanking::kGroups> by_group_;
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/policy/membership.cc
+++ b/lacewingknot/policy/membership.cc
@@ -59,20 +59,22 @@
   return std::nullopt;
 }
 
-std::vector<Member> Membership::Alive(TimePoint now) const {
+void Membership::Forget(TimePoint now) {
+  std::erase_if(known_, [&](const auto& entry) {
+    return entry.first != self_ && now - entry.second.heard_at > kForgetAfter;
+  });
+}
+
+std::vector<Member> Membership::Alive(TimePoint now) {
+  Forget(now);
   std::vector<Member> alive;
-  for (const auto& [address, known] : known_) {
-    if (address == self_ || now - known.heard_at <= kForgetAfter) {
-      alive.push_back(known.member);
-    }
-  }
+  alive.reserve(known_.size());
+  for (const auto& [address, known] : known_) alive.push_back(known.member);
   return alive;
 }
 
 std::size_t Membership::Known(TimePoint now) {
-  std::erase_if(known_, [&](const auto& entry) {
-    return entry.first != self_ && now - entry.second.heard_at > kForgetAfter;
-  });
+  Forget(now);
   return known_.size();
 }
 
--- a/lacewingknot/policy/membership.h
+++ b/lacewingknot/policy/membership.h
@@ -62,7 +62,7 @@
 
   // Members heard of within kForgetAfter, in the order of their addresses, this
   // daemon included.
-  std::vector<Member> Alive(TimePoint now) const;
+  std::vector<Member> Alive(TimePoint now);
 
   // Members heard of lately, this daemon included.
   std::size_t Known(TimePoint now);
@@ -75,6 +75,9 @@
     TimePoint heard_at{};
   };
 
+  // Drops members whose heartbeat has not risen for kForgetAfter.
+  void Forget(TimePoint now);
+
   std::string self_;
   std::map<std::string, Heard, std::less<>> known_;
   std::size_t claimed_size_ = 1;
