--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy
   libcpprest-dev libnng-dev prometheus-cpp-dev libtclap-dev liblog4cplus-dev
-  librapidcheck-dev libtomlplusplus-dev libxxhash-dev nlohmann-json3-dev
+  gnuplot-nox librapidcheck-dev libtomlplusplus-dev libxxhash-dev nlohmann-json3-dev
   libmsgpack-cxx-dev libgtest-dev zlib1g-dev libssl-dev curl jq)
 missing=()
 for package in "${packages[@]}"; do
