After a loss of power: read a short directory without delay, open connections gradually

Change: policy/change_coalescing.h reads on within 50 ms while a route lacks upstreams; policy/connection_ramp.h lets the connections of a process grow from a quarter of its share within four seconds of its start. An attempt whose relay connection was lost before sending ends as not sent instead of lost, so that it may be made elsewhere and the refusal is true.

Tried and dropped: a request that arrives before the first routes waits up to 80 ms for them.

Also: disabled_mechanisms in the settings, a checked list of names (policy/mechanisms.h), for operators and for the ablation; start and /status name the ones that are off.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -73,7 +73,8 @@
       Service::Options{.name = name,
                        .extra_load = {},
                        .started_at = options_.started_at,
-                       .vm = options_.vm});
+                       .vm = options_.vm,
+                       .choice = ReplicaChoiceWithout(options_.disabled)});
   ApplyShares(*service);
   return service;
 }
@@ -86,10 +87,10 @@
            OwnShare(service, options_.extra_attempts * kBaseSafetyFactor)});
   service.set_cold_share(service.limits().cold_requests_per_second / fleet);
   const auto limit = static_cast<double>(service.limits().max_connections);
-  const auto quota = std::max<std::int64_t>(
+  const auto share = std::max<std::int64_t>(
       1, static_cast<std::int64_t>(OwnShare(service, limit)));
   for (const UpstreamPtr& upstream : service.upstreams()) {
-    upstream->set_connection_quota(quota);
+    upstream->set_connection_share(share);
   }
   // The number of replicas that this daemon may connect to, such that all
   // daemons together stay within each replica's connection limit.
@@ -126,7 +127,7 @@
   std::size_t daemons = 0;
   for (const auto& [name, candidates] : members) daemons += candidates.size();
   const std::size_t data_centres = members.size();
-  relays_.set_members(members, self);
+  if (is_enabled(Mechanism::kRelays)) relays_.set_members(members, self);
   std::int64_t own = 0;
   for (const std::string& shard : shard_services_) {
     const ServicePtr service = FindService(shard);
@@ -212,7 +213,9 @@
   ApplyAllShares();
 }
 
-void EdgeCore::StartPreconnecting() { Preconnect(); }
+void EdgeCore::StartPreconnecting() {
+  if (is_enabled(Mechanism::kPreconnecting)) Preconnect();
+}
 
 void EdgeCore::Preconnect() {
   const TimePoint now = BootClock::now();
@@ -249,6 +252,7 @@
       .record = record,
       .endpoint = endpoint.value(),
       .is_local = record.data_centre == options_.data_centre,
+      .process_started_at = options_.started_at,
       .has_short_attempts = shard_services_.count(record.service) > 0,
       .on_health_change =
           [metrics](const UpstreamRecord& about, std::string_view health,
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -25,6 +25,7 @@
 #include "lacewingknot/edge/timer_queue.h"
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/latency_window.h"
+#include "lacewingknot/policy/mechanisms.h"
 #include "lacewingknot/policy/weighted_round_robin.h"
 
 namespace lacewingknot::edge {
@@ -88,6 +89,7 @@
     // of its requests plus `extra_attempts` per window.
     double extra_ratio = 0;
     double extra_attempts = 0;
+    MechanismSet disabled;  // Mechanisms that operators switched off.
   };
 
   explicit EdgeCore(Options options);
@@ -102,6 +104,10 @@
   // fleet are divided by it.
   void set_fleet_size(std::size_t size);
 
+  bool is_enabled(Mechanism mechanism) const {
+    return !options_.disabled.Contains(mechanism);
+  }
+
   // Null until the first routing table.
   std::shared_ptr<const BoundTable> routes() const { return routes_; }
   const RelayTable& relay_table() const { return relays_; }
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -32,7 +32,8 @@
              .vm = options_.settings.vm,
              .data_centre = options_.settings.data_centre,
              .extra_ratio = options_.settings.extra_ratio,
-             .extra_attempts = options_.settings.extra_attempts}),
+             .extra_attempts = options_.settings.extra_attempts,
+             .disabled = options_.settings.disabled_mechanisms}),
       server_({.core = &core_,
                .listen = options_.settings.listen,
                .stop_grace = options_.settings.stop_grace}),
@@ -84,10 +85,13 @@
     }).detach();
   }
   RunOnTrafficThread([this] { core_.StartPreconnecting(); });
-  LogEvent(Event::kDaemonStarted, {{"vm", settings.vm},
-                                   {"data_centre", settings.data_centre},
-                                   {"listen", settings.listen},
-                                   {"store", settings.store}});
+  LogEvent(
+      Event::kDaemonStarted,
+      {{"vm", settings.vm},
+       {"data_centre", settings.data_centre},
+       {"listen", settings.listen},
+       {"store", settings.store},
+       {"disabled_mechanisms", MechanismNames(settings.disabled_mechanisms)}});
   return Ok();
 }
 
@@ -185,11 +189,14 @@
 }
 
 std::string EdgeDaemon::Status() const {
-  nlohmann::json status{{"vm", options_.settings.vm},
-                        {"data_centre", options_.settings.data_centre},
-                        {"ready", IsReady()},
-                        {"fleet_size", fleet_size_.load()},
-                        {"draining", is_draining_.load()}};
+  nlohmann::json status{
+      {"vm", options_.settings.vm},
+      {"data_centre", options_.settings.data_centre},
+      {"ready", IsReady()},
+      {"fleet_size", fleet_size_.load()},
+      {"draining", is_draining_.load()},
+      {"disabled_mechanisms",
+       MechanismNames(options_.settings.disabled_mechanisms)}};
   if (const auto routes = routes_.Read()) {
     status["config_version"] = (*routes)->version();
     status["config_revision"] = (*routes)->revision();
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 15> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 16> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -24,6 +24,7 @@
                                                       "changes_in_force_ms",
                                                       "log_level",
                                                       "processor_share",
+                                                      "disabled_mechanisms",
                                                       "extra_load",
                                                       "stop"};
 
@@ -110,6 +111,29 @@
     }
   }
 
+  void ReadDisabledMechanisms(const toml::table& root) {
+    constexpr std::string_view kKey = "disabled_mechanisms";
+    const toml::node* node = root.get(kKey);
+    if (node == nullptr) return;
+    std::string accepted = "a list of:";
+    for (const MechanismInfo& info : AllMechanisms()) {
+      accepted += " \"" + std::string(info.name) + '"';
+    }
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+      AddFault(*node, kKey, "wrong type", accepted);
+      return;
+    }
+    for (const toml::node& entry : *list) {
+      const auto name = entry.value_exact<std::string>();
+      if (const auto mechanism = FindMechanism(name.value_or(""))) {
+        parsed_.settings.disabled_mechanisms.Insert(*mechanism);
+      } else {
+        AddFault(entry, kKey, "not a mechanism", accepted);
+      }
+    }
+  }
+
   void ReadLogLevel(const toml::table& root) {
     const toml::node* node = root.get("log_level");
     if (node == nullptr) return;
@@ -145,6 +169,7 @@
   reader.ReadAddress(root, "store", true, settings.store);
   reader.ReadPeers(root);
   reader.ReadLogLevel(root);
+  reader.ReadDisabledMechanisms(root);
   reader.ReadNumber(root, "processor_share", 0.001, 1'000,
                     settings.processor_share);
   reader.ReadNumber(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -13,9 +13,13 @@
 //   log_level = "info"
 //   store_max_staleness_ms = 4000       # max age of the view of the store
 //   changes_in_force_ms = 3000          # max delay until a store change
-//   applies [extra_load]                        # limits of the fleet per
-//   service ratio = 0.2 attempts = 52 [stop] grace_seconds = 6 # time until the
-//   process is killed
+//                                       # applies
+//   disabled_mechanisms = []            # names of policy/mechanisms.h
+//   [extra_load]                        # limits of the fleet for a service
+//   ratio = 0.2
+//   attempts = 52
+//   [stop]
+//   grace_seconds = 6                   # time until the process is killed
 //
 // Unknown keys are ignored and reported in ParsedEdgeSettings::ignored: a file
 // written for a newer version must not stop an older daemon.
@@ -35,6 +39,7 @@
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/base/event_log.h"
+#include "lacewingknot/policy/mechanisms.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot::edge {
@@ -56,6 +61,7 @@
   double extra_ratio = 0.1;
   double extra_attempts = 10;
   Duration stop_grace = std::chrono::seconds(6);
+  MechanismSet disabled_mechanisms;
 };
 
 struct ParsedEdgeSettings {
--- a/lacewingknot/edge/edge_settings_test.cc
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -19,6 +19,7 @@
 changes_in_force_ms = 5000
 processor_share = 0.12
 log_level = "warning"
+disabled_mechanisms = ["hedging", "relays"]
 [extra_load]
 ratio = 0.2
 attempts = 52
@@ -48,6 +49,8 @@
   EXPECT_EQ(parsed.settings.store_max_staleness, std::chrono::seconds(5));
   EXPECT_EQ(parsed.settings.changes_in_force, std::chrono::seconds(5));
   EXPECT_DOUBLE_EQ(parsed.settings.processor_share, 0.12);
+  EXPECT_EQ(MechanismNames(parsed.settings.disabled_mechanisms),
+            "hedging,relays");
   EXPECT_DOUBLE_EQ(parsed.settings.extra_attempts, 52);
 }
 
@@ -72,6 +75,8 @@
       {"attempts = 52", "attempts = \"many\"", "extra_load.attempts"},
       {"grace_seconds = 6", "grace_seconds = 0", "stop.grace_seconds"},
       {"\"warning\"", "\"loud\"", "log_level"},
+      {"\"hedging\"", "\"hedgin\"", "disabled_mechanisms"},
+      {"[\"hedging\", \"relays\"]", "\"hedging\"", "disabled_mechanisms"},
   };
   for (const auto& invalid : cases) {
     const auto faults = FaultsAfterReplacing(invalid.from, invalid.to);
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -62,18 +62,26 @@
 }
 
 void RelayLink::SendRequest(RelayAttemptRequest request, TimePoint now) {
+  if (!channel_) {
+    // The connection was lost after this relay was chosen.
+    asio::post(*options_.io,
+               [self = shared_from_this(),
+                attempts = std::move(request.attempts)]() mutable {
+                 for (const RelayAttempt& unsent : attempts) {
+                   RelayResult result{.number = unsent.number,
+                                      .end = AttemptEnd::kNotSent,
+                                      .cause = std::string(kCauseRelayLost)};
+                   self->FinishAttempt(result);
+                 }
+               });
+    return;
+  }
   for (const RelayAttempt& delegated : request.attempts) {
     const auto found = pending_attempts_.find(delegated.number);
     if (found == pending_attempts_.end()) continue;
     found->second->sent = true;
     found->second->sent_at = now;
   }
-  if (!channel_) {
-    // The connection was lost after this relay was chosen.
-    asio::post(*options_.io,
-               [self = shared_from_this()] { self->FailPendingAttempts(); });
-    return;
-  }
   channel_->Send(request);
   if (!unacknowledged_since_) unacknowledged_since_ = now;
   ScheduleSilenceCheck();
@@ -163,7 +171,7 @@
 void RelayLink::FailPendingAttempts() {
   const auto lost = std::exchange(pending_attempts_, {});
   for (const auto& [number, attempt] : lost) {
-    attempt->Finish({.end = AttemptEnd::kLost, .cause = "relay_lost"});
+    attempt->Finish({.end = AttemptEnd::kLost, .cause = kCauseRelayLost});
   }
 }
 
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -35,8 +35,9 @@
 using WireStopNotice = std::tuple<std::uint32_t>;
 
 // Causes that upstreams and relays report for attempts without an answer.
-constexpr std::array<std::string_view, 21> kKnownCauses{
+constexpr std::array<std::string_view, 22> kKnownCauses{
     "",
+    kCauseRelayLost,
     "unusable",
     "connect_failed",
     "misdirected",
--- a/lacewingknot/edge/relay_messages.h
+++ b/lacewingknot/edge/relay_messages.h
@@ -38,6 +38,8 @@
 inline constexpr std::string_view kCauseNoBudget = "no_budget";
 inline constexpr std::string_view kCauseExpired = "expired";
 inline constexpr std::string_view kCauseAnsweredAlready = "answered_already";
+// The connection to the relay was lost.
+inline constexpr std::string_view kCauseRelayLost = "relay_lost";
 // A replica in another data centre is expected to answer sooner.
 inline constexpr std::string_view kCauseBetterElsewhere = "better_elsewhere";
 // The answer is unsigned or answers another request, so it is not a part.
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -90,8 +90,8 @@
   }
   if (!uses_any_replica && !delegated.is_mandatory &&
       service.usable_data_centres().size() > 1 &&
-      ShouldDecline(upstream->CurrentLoad(query.mean_latency, now),
-                    query.mean_latency, {})) {
+      ShouldDecline(service.LoadOf(*upstream, query.mean_latency, now),
+                    query.mean_latency, service.choice())) {
     cause = kCauseBetterElsewhere;
     return nullptr;
   }
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -372,6 +372,25 @@
   EXPECT_TRUE(records_.empty());
 }
 
+// Guards against telling a client that a query may have run when its request
+// never left this daemon.
+TEST_F(RelaySessionTest, Attempt_LinkLostBeforeSending_IsNotSent) {
+  TimerQueue timers(io_);
+  const auto link = std::make_shared<RelayLink>(RelayLink::Options{
+      .io = &io_, .timers = &timers, .address = "127.0.0.1:1"});
+  const auto attempt = std::make_shared<Attempt>();
+  attempt->request = std::make_shared<OutboundRequest>();
+  std::optional<AttemptEnd> end;
+  attempt->on_done = [&](const AttemptResult& result) { end = result.end; };
+  const std::uint64_t number = link->AddAttempt(attempt);
+  link->SendRequest({.query = 1, .attempts = {{.number = number}}},
+                    BootClock::now());
+  EXPECT_FALSE(end);
+  RunUntil([&] { return end.has_value(); });
+  EXPECT_EQ(end, AttemptEnd::kNotSent);
+  EXPECT_FALSE(attempt->sent);
+}
+
 // A fleet with enough connections for every daemon (RelayMode::kSpread). The
 // entry daemon's data centre has no replicas; the relay's has one.
 class SpreadRelayTest : public RelaySessionTest {
--- a/lacewingknot/edge/routing_table.h
+++ b/lacewingknot/edge/routing_table.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -102,6 +103,10 @@
   std::uint64_t version() const { return options_.version; }
   std::uint64_t revision() const { return options_.revision; }
 
+  // Returns whether some route is refused for lack of upstreams if only
+  // `services` have any.
+  bool LacksUpstreams(const std::set<std::string, std::less<>>& services) const;
+
   // Returns the limits of `service`, or defaults if it is not configured.
   ServiceLimits LimitsOf(std::string_view service) const;
 
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -41,13 +41,18 @@
   // The request waited for the processor as long as a timer does, and the
   // answer will again.
   const Duration scheduling_delay =
-      std::min(core().timers().lag() * kSchedulingDelaysPerRequest,
-               spec().target_latency / kMaxSchedulingDelayDivisor);
+      core().is_enabled(Mechanism::kSchedulingMargin)
+          ? std::min(core().timers().lag() * kSchedulingDelaysPerRequest,
+                     spec().target_latency / kMaxSchedulingDelayDivisor)
+          : Duration::zero();
   const Duration response_margin =
       kResponseMargin + kResponseMarginPerShard * shards_.size();
   soft_deadline_ = std::min(deadline(), started_at() + spec().target_latency -
                                             client_round_trip() -
                                             response_margin - scheduling_delay);
+  if (!core().is_enabled(Mechanism::kPartialAnswers)) {
+    soft_deadline_ = deadline();
+  }
   attempt_deadline_ = std::min(
       deadline(),
       started_at() + std::chrono::duration_cast<Duration>(
@@ -100,9 +105,11 @@
   SendRelayRequests(now);
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
-  hedge_timer_ = core().timers().At(
-      now + route().latency_stats->HedgeDelay(spec().target_latency),
-      [self] { self->StartHedges(); });
+  if (core().is_enabled(Mechanism::kHedging)) {
+    hedge_timer_ = core().timers().At(
+        now + route().latency_stats->HedgeDelay(spec().target_latency),
+        [self] { self->StartHedges(); });
+  }
   answer_timer_ = core().timers().At(
       soft_deadline_, [self] { self->Decide(BootClock::now()); });
   deadline_timer_ = core().timers().At(
@@ -111,7 +118,8 @@
 }
 
 bool ScatterSession::is_urgent() const {
-  return spec().target_latency <= kMaxUrgentObjective;
+  return core().is_enabled(Mechanism::kUrgentHedgesFirst) &&
+         spec().target_latency <= kMaxUrgentObjective;
 }
 
 RelayTable::Choice ScatterSession::ChooseAnotherRelay(std::size_t index,
@@ -208,7 +216,9 @@
     message.mean_latency_us = ToMicros(route().latency_stats->mean_latency());
     message.top_records = static_cast<std::int64_t>(spec().top_records);
     message.max_batch_delay_us =
-        ToMicros(spec().target_latency) / kBatchDelayDivisor;
+        core().is_enabled(Mechanism::kBatchingDelay)
+            ? ToMicros(spec().target_latency) / kBatchDelayDivisor
+            : 0;
     // A relay needs the client's request only once.
     if (std::find(queried_relays_.begin(), queried_relays_.end(),
                   request.relay) == queried_relays_.end()) {
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -105,16 +105,24 @@
   return candidates;
 }
 
+ReplicaLoad Service::LoadOf(const Upstream& upstream, Duration mean_latency,
+                            TimePoint now) const {
+  ReplicaLoad load = upstream.CurrentLoad(mean_latency, now);
+  if (!options_.choice.uses_slowness) load.expected_latency = mean_latency;
+  if (!options_.choice.uses_backoff) load.is_backing_off = false;
+  return load;
+}
+
 UpstreamPtr Service::Choose(const ReplicaCriteria& criteria, TimePoint now) {
   std::vector<UpstreamPtr> candidates = Candidates(criteria, subset_size_, now);
   if (candidates.empty()) candidates = Candidates(criteria, SIZE_MAX, now);
   std::vector<ReplicaLoad> loads;
   loads.reserve(candidates.size());
   for (const UpstreamPtr& upstream : candidates) {
-    loads.push_back(upstream->CurrentLoad(criteria.mean_latency, now));
+    loads.push_back(LoadOf(*upstream, criteria.mean_latency, now));
     if (criteria.include_backing_off) loads.back().is_backing_off = false;
   }
-  const auto chosen = ChooseReplica(loads, rotation_++, choice_);
+  const auto chosen = ChooseReplica(loads, rotation_++, options_.choice);
   if (!chosen) return nullptr;
   const UpstreamPtr& upstream = candidates[*chosen];
   if (limits_.cold_requests_per_second > 0 &&
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -41,6 +41,7 @@
     ExtraLoadWindow::Limits extra_load;
     TimePoint started_at{};  // Start time of the process.
     std::string vm;  // This daemon's VM, which determines its replica order.
+    ReplicaChoiceOptions choice;
   };
 
   explicit Service(Options options);
@@ -96,6 +97,10 @@
   };
   // Returns the upstream for one more attempt; null if there is none.
   UpstreamPtr Choose(const ReplicaCriteria& criteria, TimePoint now);
+  // Returns the load of `upstream` as Choose() evaluates it.
+  ReplicaLoad LoadOf(const Upstream& upstream, Duration mean_latency,
+                     TimePoint now) const;
+  const ReplicaChoiceOptions& choice() const { return options_.choice; }
   // Like Choose(), but a first attempt falls back to replicas that are backing
   // off if there is no other.
   UpstreamPtr ChooseForAttempt(AttemptKind kind, ReplicaCriteria criteria,
@@ -144,7 +149,6 @@
   std::vector<std::string> usable_data_centres_;  // Sorted.
   std::map<const Upstream*, ColdRateLimiter> cold_rate_limiters_;
   ExtraLoadWindow extra_load_budget_;
-  ReplicaChoiceOptions choice_;
   Duration mean_latency_ = std::chrono::milliseconds(20);
   std::size_t rotation_ = 0;
   TimePoint last_first_attempt_{};
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -16,7 +16,8 @@
 
 }  // namespace
 
-Upstream::Upstream(Options options) : options_(std::move(options)) {}
+Upstream::Upstream(Options options)
+    : options_(std::move(options)), ramp_(options_.process_started_at) {}
 
 void Upstream::Submit(AttemptPtr attempt) {
   const TimePoint now = BootClock::now();
@@ -148,8 +149,7 @@
   RemoveClosed();
   std::size_t opening = CountInState(UpstreamConnection::State::kConnecting);
   while (opening < queue_.size() &&
-         static_cast<std::int64_t>(connections_.size()) <
-             options_.connection_quota) {
+         static_cast<std::int64_t>(connections_.size()) < ramp_.Allowed(now)) {
     OpenConnection();
     ++opening;
   }
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -23,6 +23,7 @@
 #include "lacewingknot/edge/timer_queue.h"
 #include "lacewingknot/edge/upstream_connection.h"
 #include "lacewingknot/edge/upstream_directory.h"
+#include "lacewingknot/policy/connection_ramp.h"
 #include "lacewingknot/policy/replica_choice.h"
 #include "lacewingknot/policy/slowness.h"
 
@@ -37,11 +38,12 @@
     UpstreamRecord record;
     boost::asio::ip::tcp::endpoint endpoint;
     bool is_local = false;  // In this daemon's data centre.
+    // Start of this process, from which its connections grow in number
+    // (policy/connection_ramp.h).
+    TimePoint process_started_at{};
     // Every attempt at this upstream is abandoned soon if it gets no answer, so
     // that dead connections need no keep-alive probes.
     bool has_short_attempts = false;
-    // The most connections that this daemon may open.
-    std::int64_t connection_quota = 1;
     // Called when the upstream's health state changes, for the log.
     std::function<void(const UpstreamRecord& record, std::string_view health,
                        std::string_view cause)>
@@ -68,9 +70,8 @@
   void UpdateRecord(UpstreamRecord record) {
     options_.record = std::move(record);
   }
-  void set_connection_quota(std::int64_t quota) {
-    options_.connection_quota = quota;
-  }
+  // Sets this daemon's share of the connections that the upstream accepts.
+  void set_connection_share(std::int64_t share) { ramp_.set_limit(share); }
   // Sets whether new attempts may be sent here; false ends the queued ones as
   // kNotSent.
   void set_usable(bool usable);
@@ -136,6 +137,7 @@
   std::deque<AttemptPtr> queue_;
   bool dispatching_ = false;
   bool dispatch_again_ = false;
+  ConnectionRamp ramp_;
   SlownessEstimator slowness_;
   double failure_share_ = 0;  // Smoothed share of failed attempts.
   TimePoint failure_share_updated_at_{};
--- a/lacewingknot/policy/replica_choice.cc
+++ b/lacewingknot/policy/replica_choice.cc
@@ -16,8 +16,19 @@
 
 }  // namespace
 
+ReplicaChoiceOptions ReplicaChoiceWithout(const MechanismSet& disabled) {
+  ReplicaChoiceOptions options{
+      .uses_suspicion = !disabled.Contains(Mechanism::kSuspicion),
+      .uses_slowness = !disabled.Contains(Mechanism::kSlownessEstimate),
+      .uses_backoff = !disabled.Contains(Mechanism::kBackoff),
+      .declines = !disabled.Contains(Mechanism::kDeclining)};
+  if (disabled.Contains(Mechanism::kRemotePenalty)) options.remote_penalty = {};
+  if (disabled.Contains(Mechanism::kFailureShare)) options.failure_cost = {};
+  return options;
+}
+
 bool IsSuspect(const ReplicaLoad& load, const ReplicaChoiceOptions& options) {
-  if (load.in_flight == 0) return false;
+  if (!options.uses_suspicion || load.in_flight == 0) return false;
   const Duration overdue_age =
       std::max(options.min_suspect_age,
                Scaled(load.expected_latency, options.suspect_age_factor));
@@ -55,6 +66,7 @@
 
 bool ShouldDecline(const ReplicaLoad& best, Duration mean_latency,
                    const ReplicaChoiceOptions& options) {
+  if (!options.declines) return false;
   if (best.is_backing_off || IsSuspect(best, options)) return true;
   return ExpectedTime(best, options) >
          Scaled(mean_latency, options.decline_factor) + options.remote_penalty;
--- a/lacewingknot/policy/replica_choice.h
+++ b/lacewingknot/policy/replica_choice.h
@@ -25,6 +25,7 @@
 #include <span>
 
 #include "lacewingknot/base/clock.h"
+#include "lacewingknot/policy/mechanisms.h"
 
 namespace lacewingknot {
 
@@ -56,8 +57,16 @@
   // Minimum age of the oldest request in flight for a suspicion, so that short
   // requests do not cause one.
   Duration min_suspect_age = std::chrono::milliseconds(20);
+  // Whether each of these observations counts (policy/mechanisms.h).
+  bool uses_suspicion = true;
+  bool uses_slowness = true;
+  bool uses_backoff = true;
+  bool declines = true;
 };
 
+// Returns the options without the mechanisms in `disabled`.
+ReplicaChoiceOptions ReplicaChoiceWithout(const MechanismSet& disabled);
+
 // Returns whether the replica has a request in flight that is overdue.
 bool IsSuspect(const ReplicaLoad& load, const ReplicaChoiceOptions& options);
 
--- a/scripts/measure/compare.py
+++ b/scripts/measure/compare.py
@@ -59,7 +59,11 @@
         run(["git", "fetch", "--quiet", str(REPOSITORY), commit], cwd=folder)
         run(["git", "checkout", "--quiet", commit], cwd=folder)
     print(f"building {commit[:12]}", file=sys.stderr)
-    run([bench, "build"], cwd=folder)
+    cached = {}
+    if shutil.which("ccache"):
+        cached = {"CMAKE_CXX_COMPILER_LAUNCHER": "ccache",
+                  "CCACHE_BASEDIR": str(work), "CCACHE_NOHASHDIR": "1"}
+    run([bench, "build"], cwd=folder, env=os.environ | cached)
     return folder
 
 
