--- a/lacewingknot/ctl/edge_commands.cc
+++ b/lacewingknot/ctl/edge_commands.cc
@@ -52,6 +52,37 @@
   return kExitOk;
 }
 
+int PrintMechanisms(const std::string& file, Output output) {
+  MechanismSet disabled;
+  if (!file.empty()) {
+    const Result<std::string> text = internal::ReadFile(file);
+    if (!text) {
+      output.err << text.error().detail << "\n";
+      return kExitUsage;
+    }
+    const auto parsed = edge::ParseEdgeSettings(text.value());
+    if (!parsed.faults.empty()) {
+      internal::PrintFaults(file, parsed.faults, output);
+      return kExitNegative;
+    }
+    disabled = parsed.settings.disabled_mechanisms;
+  }
+  json list = json::array();
+  for (const MechanismInfo& info : AllMechanisms()) {
+    const bool is_on = !disabled.Contains(info.mechanism);
+    if (output.json) {
+      list.push_back({{"name", info.name},
+                      {"on", is_on},
+                      {"description", info.description}});
+      continue;
+    }
+    output.out << std::left << std::setw(kNameWidth) << info.name
+               << (is_on ? "on   " : "off  ") << info.description << "\n";
+  }
+  if (output.json) output.out << list.dump() << "\n";
+  return kExitOk;
+}
+
 int PrintEdgeStatus(const std::string& daemon, Output output) {
   const auto status = FetchJson(daemon, "/status", output);
   if (!status) return kExitUsage;
--- a/lacewingknot/ctl/edge_commands.h
+++ b/lacewingknot/ctl/edge_commands.h
@@ -15,6 +15,11 @@
 // key as ignored.
 int CheckEdgeSettings(const std::string& file, Output output);
 
+// Prints every mechanism that the settings can switch off, with a line on what
+// it does, and whether it is off in the settings file `file`, unless that is
+// empty.
+int PrintMechanisms(const std::string& file, Output output);
+
 // Prints an edge daemon's status: versions in force with their ages, fleet,
 // relays.
 int PrintEdgeStatus(const std::string& daemon, Output output);
--- a/lacewingknot/ctl/main.cc
+++ b/lacewingknot/ctl/main.cc
@@ -19,11 +19,13 @@
     "lacewingknotctl COMMAND [ARGUMENT] [OPTIONS]\n"
     "  check FILE          check a settings document\n"
     "  effective SERVICE   settings of a service and where each is set\n"
+    "  mechanisms          the mechanisms that settings can switch off\n"
     "  status              state of a daemon\n"
     "  explain SERVICE     which upstreams a query would use now, and why\n"
     "  query SERVICE       send one query\n"
     "  write SERVICE       send one non-idempotent request\n"
-    "check, status and explain take --edge for daemons in the edge role.\n"
+    "check, status and explain take --edge for daemons in the edge role;\n"
+    "mechanisms needs it, and marks those that are off in a FILE.\n"
     "Exit status: 0 success, 1 faults or a partial, refused or unknown "
     "outcome, 2 usage or an unreachable daemon.";
 
@@ -76,6 +78,8 @@
   namespace ctl = lacewingknot::ctl;
   return {{"check",
            [&] { return ctl::CheckEdgeSettings(arguments.argument, output); }},
+          {"mechanisms",
+           [&] { return ctl::PrintMechanisms(arguments.argument, output); }},
           {"status",
            [&] { return ctl::PrintEdgeStatus(arguments.daemon, output); }},
           {"explain", [&] {
@@ -121,7 +125,8 @@
               << "; see --help\n";
     return ctl::kExitUsage;
   }
-  const bool needs_argument = arguments.command != "status";
+  const bool needs_argument =
+      arguments.command != "status" && arguments.command != "mechanisms";
   if (needs_argument && arguments.argument.empty()) {
     std::cerr << "lacewingknotctl: " << arguments.command
               << " needs an argument; see --help\n";
--- a/lacewingknot/policy/connection_ramp_test.cc
+++ b/lacewingknot/policy/connection_ramp_test.cc
@@ -40,7 +40,9 @@
   std::int64_t rejected_without_ramp = 0;
   for (Duration since{}; since < seconds(5); since += milliseconds(50)) {
     const double closed =
-        std::clamp((since - seconds(1)) / milliseconds(1) / 3'000.0, 0.0, 1.0);
+        std::clamp(std::chrono::duration<double>(since - seconds(1)) /
+                       std::chrono::duration<double>(seconds(3)),
+                   0.0, 1.0);
     const auto dead = static_cast<std::int64_t>(kDead * (1 - closed));
     std::int64_t open = 0;
     std::int64_t open_without_ramp = 0;
--- a/scripts/measure/compare.py
+++ b/scripts/measure/compare.py
@@ -16,6 +16,8 @@
       --why "relays for data centres without replicas" --plot out.svg
 
 A commit may be written `worktree`: the uncommitted changes to tracked files.
+`--without NAME` compares one commit with itself with a mechanism switched off
+(lacewingknot/policy/mechanisms.h), for an ablation.
 """
 
 import argparse
@@ -49,16 +51,30 @@
                cwd=REPOSITORY)
 
 
-def check_out_and_build(commit, work, bench):
-    """Returns the folder of a checkout of `commit`, built."""
-    folder = work / commit[:12]
+def switch_off(mechanism, folder):
+    """Switches `mechanism` off in the settings of the checkout `folder`."""
+    template = folder / "deploy" / "settings.toml.template"
+    lines = [line for line in template.read_text().splitlines(keepends=True)
+             if not line.startswith("disabled_mechanisms")]
+    template.write_text(f'disabled_mechanisms = ["{mechanism}"]\n'
+                        + "".join(lines))
+
+
+def check_out_and_build(commit, without, work, bench):
+    """Returns the folder of a checkout of `commit`, built.
+
+    The mechanism named by `without` is switched off in it; None for no one.
+    """
+    folder = work / (commit[:12] + (f"-without-{without}" if without else ""))
     if not folder.exists():
         run(["git", "clone", "--quiet", "--no-checkout", str(REPOSITORY),
              str(folder)])
         # A commit made by `git stash create` is on no branch.
         run(["git", "fetch", "--quiet", str(REPOSITORY), commit], cwd=folder)
         run(["git", "checkout", "--quiet", commit], cwd=folder)
-    print(f"building {commit[:12]}", file=sys.stderr)
+        if without:
+            switch_off(without, folder)
+    print(f"building {folder.name}", file=sys.stderr)
     cached = {}
     if shutil.which("ccache"):
         cached = {"CMAKE_CXX_COMPILER_LAUNCHER": "ccache",
@@ -169,7 +185,9 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("base")
-    parser.add_argument("candidate")
+    parser.add_argument("candidate", nargs="?", help="default: the base")
+    parser.add_argument("--without", metavar="MECHANISM",
+                        help="switched off in the candidate")
     parser.add_argument("--site", required=True, help="site file")
     parser.add_argument("--days", default="trouble-1,scale-1,trouble-2,scale-2,"
                         "trouble-3", help="names or TOML files, by commas")
@@ -197,9 +215,13 @@
     options.site = str(pathlib.Path(options.site).resolve())
     options.work.mkdir(parents=True, exist_ok=True)
     folders = [
-        check_out_and_build(resolve(revision), options.work, bench)
-        for revision in (options.base, options.candidate)
+        check_out_and_build(resolve(revision), without, options.work, bench)
+        for revision, without in (
+            (options.base, None),
+            (options.candidate or options.base, options.without))
     ]
+    if folders[0] == folders[1]:
+        sys.exit("base and candidate are the same")
     days = options.days.split(",")
     cases = [(folder, day, seed) for day in days for seed in options.seeds
              for folder in folders]
