Admission of whole queries under overload; a short directory is read at a bounded rate

Change: policy/query_admission.h, adaptive throttling: a route refuses a share of its queries at once, truly not run, that follows from how many of the last second's queries were served; none while two thirds are served, at most three quarters. Retry-After from 0.3 to 1.5 s, spread.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -149,7 +149,7 @@
           },
       .on_newest_revision =
           [&](std::uint64_t revision) { daemon.SetStoreRevision(revision); },
-      .has_peers = [&] { return daemon.has_peers(); },
+      .fleet_size = [&] { return daemon.fleet_size(); },
       .max_staleness = parsed.settings.store_max_staleness,
       .max_apply_delay = parsed.settings.changes_in_force});
   if (const auto started = daemon.Start(); !started) {
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -194,6 +194,9 @@
       history = std::make_shared<RouteLatencyStats>(spec.target_latency);
     }
     route.latency_stats = history;
+    auto& admission = admissions_[spec.name];
+    if (!admission) admission = std::make_shared<QueryAdmission>();
+    route.admission = admission;
     bound->routes.push_back(std::move(route));
   }
   routes_ = std::move(bound);
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -26,6 +26,7 @@
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/latency_window.h"
 #include "lacewingknot/policy/mechanisms.h"
+#include "lacewingknot/policy/query_admission.h"
 #include "lacewingknot/policy/weighted_round_robin.h"
 
 namespace lacewingknot::edge {
@@ -63,6 +64,7 @@
   std::vector<ServicePtr> services;  // Of the spec's targets or shards.
   std::shared_ptr<WeightedRoundRobin> target_selector;  // Among `targets`.
   std::shared_ptr<RouteLatencyStats> latency_stats;
+  std::shared_ptr<QueryAdmission> admission;
 };
 
 // One version of the routes. Shares ownership of the table and services that
@@ -162,6 +164,8 @@
   std::set<std::string> shard_services_;
   std::map<std::string, std::shared_ptr<RouteLatencyStats>, std::less<>>
       latency_stats_;
+  std::map<std::string, std::shared_ptr<QueryAdmission>, std::less<>>
+      admissions_;  // By route; they outlive versions like `latency_stats_`.
   RelayTable relays_;
   std::size_t fleet_size_ = kMinFleetSize;
   std::uint64_t last_query_number_ = 0;
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -48,9 +48,10 @@
   void OnDirectory(std::shared_ptr<const Directory> directory);
   EdgeMetrics& metrics() { return metrics_; }
   // This daemon has read `revision` of the store. Thread-safe, like
-  // has_peers().
+  // fleet_size().
   void SetStoreRevision(std::uint64_t revision);
-  bool has_peers() const { return fleet_size_ > 1; }
+  // Number of daemons known to be alive, 0 before they are known.
+  std::size_t fleet_size() const { return fleet_size_; }
 
   // Applies the settings that may change while the process runs.
   void Reload(const EdgeSettings& settings);
--- a/lacewingknot/edge/routing_table.cc
+++ b/lacewingknot/edge/routing_table.cc
@@ -44,12 +44,7 @@
   return std::any_of(
       options_.routes.begin(), options_.routes.end(),
       [&](const RouteSpec& route) {
-        if (!route.is_scatter()) {
-          return std::none_of(route.targets.begin(), route.targets.end(),
-                              [&](const RouteTarget& target) {
-                                return services.contains(target.service);
-                              });
-        }
+        if (!route.is_scatter()) return false;
         const auto covered = static_cast<std::size_t>(std::count_if(
             route.shards.begin(), route.shards.end(),
             [&](const auto& shard) { return services.contains(shard); }));
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -26,6 +26,9 @@
 constexpr int kMaxSchedulingDelayDivisor = 4;
 // Retry-After of a query refused because too few shards are available.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(300);
+// Retry-After of queries refused by admission: overload lasts for seconds.
+constexpr Duration kMinOverloadRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration kMaxOverloadRetryAfter = std::chrono::milliseconds(1'500);
 // Requests with an objective up to this leave no time for a slow attempt.
 constexpr Duration kMaxUrgentObjective = std::chrono::milliseconds(80);
 // The objective divided by this is how long a relay may delay a part to batch
@@ -85,6 +88,11 @@
     return;
   }
   query_number_ = core().NextQueryNumber();
+  if (core().is_enabled(Mechanism::kAdmission) &&
+      !route().admission->Admit(now)) {
+    RefuseByAdmission();
+    return;
+  }
   is_decision_deferred_ = true;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     Shard& shard = shards_[i];
@@ -496,12 +504,48 @@
                     std::to_string(missing) + "\r\n" + names.request_id + ": " +
                     request().request_id + "\r\n";
   answer.body = MergeTopRecords(parts, spec().top_records);
+  route().admission->OnEnded(QueryOutcome::kServed, BootClock::now());
   Finish(answer, missing == 0 ? "complete" : "partial",
          missing == 0 ? "" : "shards_missing");
 }
 
+void ScatterSession::RefuseByAdmission() {
+  // Spread over the interval, so that the callers do not return together.
+  constexpr std::uint64_t kSteps = 8;
+  const Duration retry_after =
+      kMinOverloadRetryAfter +
+      (kMaxOverloadRetryAfter - kMinOverloadRetryAfter) *
+          static_cast<std::int64_t>(query_number_ % kSteps) /
+          static_cast<std::int64_t>(kSteps);
+  Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
+         "overload");
+}
+
+bool ScatterSession::IsOverloaded() const {
+  constexpr std::array kOverloadCauses{
+      std::string_view(kCauseNoBudget), std::string_view(kCauseBetterElsewhere),
+      std::string_view("abandoned"), std::string_view("refused")};
+  std::size_t missing = 0;
+  std::size_t overloaded = 0;
+  for (const Shard& shard : shards_) {
+    if (shard.state == ShardState::kAnswered) continue;
+    ++missing;
+    const bool is_slow =
+        shard.state == ShardState::kPending && !shard.in_flight.empty();
+    if (is_slow || std::find(kOverloadCauses.begin(), kOverloadCauses.end(),
+                             shard.cause) != kOverloadCauses.end()) {
+      ++overloaded;
+    }
+  }
+  return 2 * overloaded > missing;
+}
+
 void ScatterSession::Refuse() {
-  const bool is_expired = BootClock::now() >= deadline();
+  const TimePoint now = BootClock::now();
+  const bool is_expired = now >= deadline();
+  if (query_number_ != 0 && IsOverloaded()) {
+    route().admission->OnEnded(QueryOutcome::kOverloaded, now);
+  }
   bool may_have_run = any_attempt_may_have_run_;
   for (const Shard& shard : shards_) {
     for (const AttemptInFlight& in_flight : shard.in_flight) {
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -133,6 +133,12 @@
   void Decide(TimePoint now);
   void Answer();
   void Refuse();
+  // Refuses the query before anything was sent, because queries of its route
+  // fail by overload.
+  void RefuseByAdmission();
+  // Whether most of the missing shards are missing because their replicas shed
+  // requests or were too slow.
+  bool IsOverloaded() const;
   QueryProgress Progress() const;
 
   std::vector<Shard> shards_;
--- a/lacewingknot/policy/change_coalescing.h
+++ b/lacewingknot/policy/change_coalescing.h
@@ -6,13 +6,16 @@
 // After a loss of power or an outage of the store the whole directory comes
 // back entry by entry within two seconds. A query that covers too few shards is
 // refused, so each entry is needed at once, and gathering for a second turns
-// into a second of refusals.
+// into a second of refusals. The daemons of a large fleet still read less often
+// then, so that the fleet's calls to the store are bounded.
 //
 // No I/O and no clock.
 
 #ifndef LACEWINGKNOT_POLICY_CHANGE_COALESCING_H_
 #define LACEWINGKNOT_POLICY_CHANGE_COALESCING_H_
 
+#include <cstddef>
+
 #include "lacewingknot/base/clock.h"
 
 namespace lacewingknot {
@@ -20,8 +23,10 @@
 struct CoalescingInputs {
   // The last answer was full: the store has more changes ready.
   bool has_backlog = false;
-  // Some route is refused for lack of upstreams.
+  // Some scatter route is refused for lack of upstreams.
   bool lacks_upstreams = false;
+  // Daemons that read the store; 0 if not known yet.
+  std::size_t fleet_size = 0;
   // Longest time from a change in the store until it must be in force.
   Duration max_apply_delay{};
 };
--- a/lacewingknot/policy/change_coalescing_test.cc
+++ b/lacewingknot/policy/change_coalescing_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace lacewingknot {
 namespace {
 
@@ -43,11 +45,32 @@
     known = std::min(kUpstreams, static_cast<int>(now / kInterval));
     if (known >= kNeeded && served_from == Duration::zero()) served_from = now;
     now += CoalescingDelay({.lacks_upstreams = known < kNeeded,
+                            .fleet_size = 7,
                             .max_apply_delay = kMaxApplyDelay});
   }
   EXPECT_LE(served_from - kInterval * kNeeded, milliseconds(60));
   EXPECT_LE(calls, kUpstreams);
 }
 
+// Guards against thousands of calls when a large fleet starts: each of 84
+// daemons called the store for nearly every entry of a directory of 270.
+TEST(CoalescingDelayTest, Fleet_AnySize_CallsTheStoreAtBoundedRate) {
+  constexpr double kMaxCallsPerSecond = 150;
+  for (const std::size_t daemons : {7, 84, 195, 500}) {
+    const Duration delay =
+        CoalescingDelay({.lacks_upstreams = true,
+                         .fleet_size = daemons,
+                         .max_apply_delay = milliseconds(5'000)});
+    const double calls = static_cast<double>(daemons) /
+                         std::chrono::duration<double>(delay).count();
+    // The usual delay of 2 s binds in the largest fleets.
+    EXPECT_LE(calls,
+              std::max(kMaxCallsPerSecond, static_cast<double>(daemons) / 2));
+  }
+  EXPECT_GE(CoalescingDelay({.lacks_upstreams = true,
+                             .max_apply_delay = milliseconds(5'000)}),
+            milliseconds(250));
+}
+
 }  // namespace
 }  // namespace lacewingknot
--- a/lacewingknot/policy/mechanisms.cc
+++ b/lacewingknot/policy/mechanisms.cc
@@ -6,7 +6,9 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<MechanismInfo, 13> kMechanisms{{
+constexpr std::array<MechanismInfo, 14> kMechanisms{{
+    {Mechanism::kAdmission, "admission",
+     "a part of the queries is refused at once while many fail by overload"},
     {Mechanism::kBackoff, "backoff",
      "upstreams get no attempts for a while after consecutive failures"},
     {Mechanism::kBatchingDelay, "batching_delay",
--- a/lacewingknot/policy/mechanisms.h
+++ b/lacewingknot/policy/mechanisms.h
@@ -25,6 +25,7 @@
 namespace lacewingknot {
 
 enum class Mechanism {
+  kAdmission,
   kBackoff,
   kBatchingDelay,
   kDeclining,
