--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -135,9 +135,9 @@
       {.settings = parsed.settings,
        .names = &lacewingknot::platform::PlatformHeaderNames(),
        .readiness_path = std::string(lacewingknot::platform::kReadinessPath),
-       .on_peer_revision = [&](std::uint64_t revision) {
-         store->OnPeerRevision(revision);
-       }});
+       .on_peer_revision =
+           [&](std::uint64_t revision) { store->OnPeerRevision(revision); },
+       .on_upstreams_lacking = [&] { store->OnUpstreamsLacking(); }});
   store.emplace(lacewingknot::platform::StoreReader::Options{
       .address = parsed.settings.store,
       .on_routes = [&](auto table) { daemon.OnRoutes(std::move(table)); },
--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -115,14 +115,6 @@
   return next;
 }
 
-std::set<std::string, std::less<>> DirectoryState::UsableServices() const {
-  std::set<std::string, std::less<>> services;
-  for (const auto& [id, entry] : entries_) {
-    if (!entry.record.draining) services.insert(entry.record.service);
-  }
-  return services;
-}
-
 Directory DirectoryState::Snapshot() const {
   Directory directory{.revision = revision_, .confirmed_at = confirmed_at_};
   for (const auto& [id, entry] : entries_) {
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -71,8 +71,6 @@
   std::optional<TimePoint> NextRemovalTime() const;
 
   Directory Snapshot() const;
-  // Returns the services that have an upstream which is not draining.
-  std::set<std::string, std::less<>> UsableServices() const;
 
  private:
   // Share of the directory that may be removed within kMassRemovalWindow with
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -10,6 +10,7 @@
 #define LACEWINGKNOT_EDGE_EDGE_CORE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -92,6 +93,9 @@
     double extra_ratio = 0;
     double extra_attempts = 0;
     MechanismSet disabled;  // Mechanisms that operators switched off.
+    // Called when a query is refused because the directory holds too few
+    // upstreams.
+    std::function<void()> on_upstreams_lacking = [] {};
   };
 
   explicit EdgeCore(Options options);
@@ -106,6 +110,7 @@
   // fleet are divided by it.
   void set_fleet_size(std::size_t size);
 
+  void OnUpstreamsLacking() const { options_.on_upstreams_lacking(); }
   bool is_enabled(Mechanism mechanism) const {
     return !options_.disabled.Contains(mechanism);
   }
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -37,6 +37,9 @@
     std::string readiness_path;
     // Called when a peer reports a revision of the store.
     std::function<void(std::uint64_t revision)> on_peer_revision;
+    // Called on the traffic thread when a query is refused because the
+    // directory holds too few upstreams.
+    std::function<void()> on_upstreams_lacking = [] {};
   };
 
   explicit EdgeDaemon(Options options);
--- a/lacewingknot/edge/routing_table.cc
+++ b/lacewingknot/edge/routing_table.cc
@@ -1,11 +1,8 @@
 #include "lacewingknot/edge/routing_table.h"
 
-#include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <utility>
 
-#include "lacewingknot/policy/partial_answer.h"
-
 namespace lacewingknot::edge {
 namespace {
 
@@ -39,20 +36,6 @@
   return nullptr;
 }
 
-bool RoutingTable::LacksUpstreams(
-    const std::set<std::string, std::less<>>& services) const {
-  return std::any_of(
-      options_.routes.begin(), options_.routes.end(),
-      [&](const RouteSpec& route) {
-        if (!route.is_scatter()) return false;
-        const auto covered = static_cast<std::size_t>(std::count_if(
-            route.shards.begin(), route.shards.end(),
-            [&](const auto& shard) { return services.contains(shard); }));
-        return !HasSufficientCoverage(covered, route.shards.size(),
-                                      route.min_coverage);
-      });
-}
-
 ServiceLimits RoutingTable::LimitsOf(std::string_view service) const {
   const auto found = options_.services.find(service);
   return found == options_.services.end() ? ServiceLimits{} : found->second;
--- a/lacewingknot/edge/routing_table.h
+++ b/lacewingknot/edge/routing_table.h
@@ -18,7 +18,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -103,11 +102,6 @@
   std::uint64_t version() const { return options_.version; }
   std::uint64_t revision() const { return options_.revision; }
 
-  // Returns whether some scatter route is refused for lack of upstreams if only
-  // `services` have any. Other routes do not count: operators may keep some
-  // whose services have no upstream.
-  bool LacksUpstreams(const std::set<std::string, std::less<>>& services) const;
-
   // Returns the limits of `service`, or defaults if it is not configured.
   ServiceLimits LimitsOf(std::string_view service) const;
 
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -84,6 +84,7 @@
     MarkFailed(shards_[i], kCauseNoReplica);
   }
   if (DecideQuery(Progress(), now) == QueryDecision::kFail) {
+    core().OnUpstreamsLacking();
     Refuse();
     return;
   }
--- a/lacewingknot/policy/change_coalescing.cc
+++ b/lacewingknot/policy/change_coalescing.cc
@@ -9,9 +9,10 @@
 // Share of `max_apply_delay` that a delay takes; the remainder is for a slow
 // store, a lost answer and the next call.
 constexpr double kApplyDelayShare = 0.4;
-// Delay for each daemon of the fleet while a route lacks upstreams, which
-// bounds the fleet to 140 calls a second; seven daemons read each 50 ms.
+// While queries lack upstreams: the delay for each daemon of the fleet, which
+// bounds the fleet to 140 calls a second, and the shortest delay.
 constexpr Duration kDelayPerDaemon = std::chrono::microseconds(7'150);
+constexpr Duration kMinDelay = std::chrono::milliseconds(50);
 // Fleet size that is assumed before members are known.
 constexpr std::size_t kUnknownFleetSize = 40;
 
@@ -23,9 +24,9 @@
       inputs.max_apply_delay * kApplyDelayShare);
   if (!inputs.lacks_upstreams) return longest;
   const std::size_t daemons =
-      inputs.fleet_size == 0 ? kUnknownFleetSize : inputs.fleet_size;
-  return std::min(longest,
-                  kDelayPerDaemon * static_cast<std::int64_t>(daemons));
+      inputs.fleet_size <= 1 ? kUnknownFleetSize : inputs.fleet_size;
+  const Duration delay = kDelayPerDaemon * static_cast<std::int64_t>(daemons);
+  return std::min(longest, std::max(kMinDelay, delay));
 }
 
 }  // namespace lacewingknot
--- a/lacewingknot/policy/change_coalescing.h
+++ b/lacewingknot/policy/change_coalescing.h
@@ -6,8 +6,9 @@
 // After a loss of power or an outage of the store the whole directory comes
 // back entry by entry within two seconds. A query that covers too few shards is
 // refused, so each entry is needed at once, and gathering for a second turns
-// into a second of refusals. The daemons of a large fleet still read less often
-// then, so that the fleet's calls to the store are bounded.
+// into a second of refusals. While queries are refused for that reason, the
+// daemon reads on sooner; in a large fleet less so, which bounds the calls of
+// all daemons together.
 //
 // No I/O and no clock.
 
@@ -23,9 +24,9 @@
 struct CoalescingInputs {
   // The last answer was full: the store has more changes ready.
   bool has_backlog = false;
-  // Some scatter route is refused for lack of upstreams.
+  // Queries have just been refused for lack of upstreams.
   bool lacks_upstreams = false;
-  // Daemons that read the store; 0 if not known yet.
+  // Daemons that read the store; 1 or less if the others are not known yet.
   std::size_t fleet_size = 0;
   // Longest time from a change in the store until it must be in force.
   Duration max_apply_delay{};
