Read-through: one reader of edge settings files in lacewingknotctl; the spread relay's fixture shadows nothing

lacewingknotctl read, parsed and reported a settings file in two commands. The fixture of the spread mode redeclared members of its base under the same names. No behaviour changes; the tests keep their assertions.

--- a/lacewingknot/ctl/edge_commands.cc
+++ b/lacewingknot/ctl/edge_commands.cc
@@ -31,18 +31,28 @@
                "status " + std::to_string(reply.status)};
 }
 
-}  // namespace
-
-int CheckEdgeSettings(const std::string& file, Output output) {
+// Reads and checks the settings file `file` into `parsed`. On failure, prints
+// the reason. Returns the exit status.
+int ReadEdgeSettings(const std::string& file, edge::ParsedEdgeSettings& parsed,
+                     Output& output) {
   const Result<std::string> text = internal::ReadFile(file);
   if (!text) {
     output.err << text.error().detail << "\n";
     return kExitUsage;
   }
-  const auto parsed = edge::ParseEdgeSettings(text.value());
-  if (!parsed.faults.empty()) {
-    internal::PrintFaults(file, parsed.faults, output);
-    return kExitNegative;
+  parsed = edge::ParseEdgeSettings(text.value());
+  if (parsed.faults.empty()) return kExitOk;
+  internal::PrintFaults(file, parsed.faults, output);
+  return kExitNegative;
+}
+
+}  // namespace
+
+int CheckEdgeSettings(const std::string& file, Output output) {
+  edge::ParsedEdgeSettings parsed;
+  if (const int status = ReadEdgeSettings(file, parsed, output);
+      status != kExitOk) {
+    return status;
   }
   for (const std::string& key : parsed.ignored) {
     output.err << file << ": " << key << ": not known, ignored\n";
@@ -53,20 +63,12 @@
 }
 
 int PrintMechanisms(const std::string& file, Output output) {
-  MechanismSet disabled;
+  edge::ParsedEdgeSettings parsed;
   if (!file.empty()) {
-    const Result<std::string> text = internal::ReadFile(file);
-    if (!text) {
-      output.err << text.error().detail << "\n";
-      return kExitUsage;
-    }
-    const auto parsed = edge::ParseEdgeSettings(text.value());
-    if (!parsed.faults.empty()) {
-      internal::PrintFaults(file, parsed.faults, output);
-      return kExitNegative;
-    }
-    disabled = parsed.settings.disabled_mechanisms;
+    const int status = ReadEdgeSettings(file, parsed, output);
+    if (status != kExitOk) return status;
   }
+  const MechanismSet& disabled = parsed.settings.disabled_mechanisms;
   json list = json::array();
   for (const MechanismInfo& info : AllMechanisms()) {
     const bool is_on = !disabled.Contains(info.mechanism);
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -406,7 +406,7 @@
   // Starts a relay in data centre "there"; all upstreams added before are in
   // that data centre.
   void StartRelayElsewhere() {
-    relay_core_.emplace(EdgeCore::Options{
+    remote_core_.emplace(EdgeCore::Options{
         .io = &io_,
         .names = &names_,
         .metrics = &relay_metrics_,
@@ -414,15 +414,16 @@
         .data_centre = "there",
         .extra_ratio = 0.2,
         .extra_attempts = 100});
-    relay_.emplace(
-        RelayServer::Options{.core = &*relay_core_, .listen = "127.0.0.1:0"});
-    ASSERT_TRUE(relay_->Listen().has_value());
+    remote_relay_.emplace(
+        RelayServer::Options{.core = &*remote_core_, .listen = "127.0.0.1:0"});
+    ASSERT_TRUE(remote_relay_->Listen().has_value());
     for (auto& upstream : upstreams_) upstream.record.data_centre = "there";
     ApplyRoutes({Route()});
-    relay_core_->ApplyRouting(core_.routes()->table);
-    relay_core_->ApplyDirectory(
+    remote_core_->ApplyRouting(core_.routes()->table);
+    remote_core_->ApplyDirectory(
         std::make_shared<Directory>(*core_.directory()));
-    const std::string address = "127.0.0.1:" + std::to_string(relay_->port());
+    const std::string address =
+        "127.0.0.1:" + std::to_string(remote_relay_->port());
     core_.set_members({{"there", {{.address = address}}}}, "127.0.0.1:9999");
   }
 
@@ -434,8 +435,8 @@
                .relay != nullptr;
   }
 
-  std::optional<EdgeCore> relay_core_;
-  std::optional<RelayServer> relay_;
+  std::optional<EdgeCore> remote_core_;
+  std::optional<RelayServer> remote_relay_;
 };
 
 TEST_F(SpreadRelayTest, Query_NoReplicaBeside_IsOneRequestToARelay) {
@@ -463,7 +464,7 @@
   StartRelayElsewhere();
   second.record.data_centre = "elsewhere";
   ApplyDirectory();
-  relay_core_->ApplyDirectory(std::make_shared<Directory>(*core_.directory()));
+  remote_core_->ApplyDirectory(std::make_shared<Directory>(*core_.directory()));
   RunUntil([&] { return HasRelay(); });
   for (int i = 0; i < 4; ++i) {
     const HttpReply reply = SendRequest("/s/1", "id-" + std::to_string(i));
