--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -210,6 +210,9 @@
         ToMillis(BootClock::now() - (*directory)->confirmed_at);
     status["evacuated"] = (*directory)->evacuated;
   }
+  if (const auto age = metrics_.StoreConfirmationAge(BootClock::now())) {
+    status["store_confirmation_age_ms"] = ToMillis(*age);
+  }
   return status.dump() + "\n";
 }
 
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -66,7 +66,13 @@
                  .Name("lacewingknot_edge_fleet_size")
                  .Help("Daemons believed to be alive, this one included.")
                  .Register(*registry_)
-                 .Add({})) {
+                 .Add({})),
+      store_confirmation_age_(
+          prometheus::BuildGauge()
+              .Name("lacewingknot_edge_store_confirmation_age_seconds")
+              .Help("Time since the store last answered; -1 if it never did.")
+              .Register(*registry_)
+              .Add({})) {
   auto& attempts = prometheus::BuildCounter()
                        .Name("lacewingknot_edge_attempts_total")
                        .Help("Attempts at upstreams by kind and end.")
@@ -136,6 +142,15 @@
 
 void EdgeMetrics::OnStoreCall(std::string_view outcome) {
   store_calls_.Add({{"outcome", std::string(outcome)}}).Increment();
+  if (outcome == "ok") {
+    store_confirmed_at_ = BootClock::now().time_since_epoch().count();
+  }
+}
+
+std::optional<Duration> EdgeMetrics::StoreConfirmationAge(TimePoint now) const {
+  const TimePoint::rep confirmed_at = store_confirmed_at_;
+  if (confirmed_at == 0) return std::nullopt;
+  return now - TimePoint(TimePoint::duration(confirmed_at));
 }
 
 void EdgeMetrics::set_config_version(std::uint64_t version) {
@@ -153,6 +168,8 @@
 }
 
 std::string EdgeMetrics::Render() const {
+  const auto age = StoreConfirmationAge(BootClock::now());
+  store_confirmation_age_.Set(age ? Seconds(*age) : -1);
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -15,9 +15,11 @@
 #include <prometheus/registry.h>
 
 #include <array>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,12 +41,16 @@
   void OnExtraAttemptDenied(std::string_view reason);
   void OnUpstreamHealthChange(std::string_view health);
   void OnConnectionOpened();
+  // An `outcome` of "ok" confirms what is known of the store.
   void OnStoreCall(std::string_view outcome);
   void set_config_version(std::uint64_t version);
   void set_upstreams(std::size_t known);
   void set_ready(bool ready);
   void set_fleet_size(std::size_t peers);
 
+  // Time since the store last answered; empty if it never did.
+  std::optional<Duration> StoreConfirmationAge(TimePoint now) const;
+
   // All metrics in the Prometheus text format.
   std::string Render() const;
 
@@ -74,6 +80,9 @@
   prometheus::Gauge& upstreams_;
   prometheus::Gauge& ready_;
   prometheus::Gauge& peers_;
+  prometheus::Gauge& store_confirmation_age_;  // Set by Render().
+  // In ticks of the clock; 0 before the first answer.
+  std::atomic<TimePoint::rep> store_confirmed_at_ = 0;
 };
 
 }  // namespace lacewingknot::edge
