A long watch on the store lasts only while somebody confirms its state

Cause: a watch that the store receives while it is silent is never answered. With peers a watch lasted up to 15.8 s, and only a peer that was ahead ended it sooner. All daemons began such a watch within the outage, so no peer was ahead. The class: a bound that holds only if somebody else knows more.

The fix turns the condition round: a daemon may watch for long only while reports arrive that the store confirmed its revision within the last 3 s (three quarters of the maximum staleness). Without one it gives the watch up and calls the store. A few daemons, the sentinels, watch for 1.6 s and give the reports; the others ask one each second, on the gossip that exists. If the sentinels are cut off, paused or gone, the reports stop and the bound holds. Daemons of earlier releases ignore the new field of a datagram.

--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -56,6 +56,7 @@
   kStoreRegained = 1114,
   kStoreHistoryGone = 1115,
   kStoreWatchStale = 1116,
+  kSentinelsChanged = 1117,
   kUpstreamPresumedCold = 1201,
   kUpstreamWarm = 1202,
   kUpstreamFellBack = 1203,
--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -135,8 +135,10 @@
       {.settings = parsed.settings,
        .names = &lacewingknot::platform::PlatformHeaderNames(),
        .readiness_path = std::string(lacewingknot::platform::kReadinessPath),
-       .on_peer_revision =
-           [&](std::uint64_t revision) { store->OnPeerRevision(revision); },
+       .on_store_report =
+           [&](const lacewingknot::StoreReport& report) {
+             store->OnPeerReport(report);
+           },
        .on_upstreams_lacking = [&] { store->OnUpstreamsLacking(); }});
   store.emplace(lacewingknot::platform::StoreReader::Options{
       .address = parsed.settings.store,
@@ -147,9 +149,10 @@
           [&](std::string_view outcome) {
             daemon.metrics().OnStoreCall(outcome);
           },
-      .on_newest_revision =
-          [&](std::uint64_t revision) { daemon.SetStoreRevision(revision); },
+      .on_confirmed =
+          [&](std::uint64_t revision) { daemon.SetStoreConfirmed(revision); },
       .fleet_size = [&] { return daemon.fleet_size(); },
+      .is_sentinel = [&] { return daemon.is_sentinel(); },
       .max_staleness = parsed.settings.store_max_staleness,
       .max_apply_delay = parsed.settings.changes_in_force});
   if (const auto started = daemon.Start(); !started) {
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -125,12 +125,7 @@
           .on_fleet_size = [this](std::size_t size) { OnFleetSize(size); },
           .on_members =
               [this](std::span<const Member> members) { OnMembers(members); },
-          .on_store_revision =
-              [this](std::uint64_t revision) {
-                if (options_.on_peer_revision) {
-                  options_.on_peer_revision(revision);
-                }
-              }});
+          .on_store_report = options_.on_store_report});
   return gossip_->Start();
 }
 
@@ -152,8 +147,8 @@
   });
 }
 
-void EdgeDaemon::SetStoreRevision(std::uint64_t revision) {
-  if (gossip_) gossip_->set_store_revision(revision);
+void EdgeDaemon::SetStoreConfirmed(std::uint64_t revision) {
+  if (gossip_) gossip_->SetStoreConfirmed(revision);
 }
 
 void EdgeDaemon::RunOnTrafficThread(std::function<void()> run) {
@@ -196,6 +191,7 @@
       {"ready", IsReady()},
       {"fleet_size", fleet_size_.load()},
       {"draining", is_draining_.load()},
+      {"store_sentinel", is_sentinel()},
       {"disabled_mechanisms",
        MechanismNames(options_.settings.disabled_mechanisms)}};
   if (const auto routes = routes_.Read()) {
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -35,8 +35,8 @@
     EdgeSettings settings;
     const HeaderNames* names = nullptr;
     std::string readiness_path;
-    // Called when a peer reports a revision of the store.
-    std::function<void(std::uint64_t revision)> on_peer_revision;
+    // Called with what a peer reports of the store.
+    std::function<void(const StoreReport& report)> on_store_report;
     // Called on the traffic thread when a query is refused because the
     // directory holds too few upstreams.
     std::function<void()> on_upstreams_lacking = [] {};
@@ -50,9 +50,11 @@
   void OnRoutes(std::shared_ptr<const RoutingTable> table);
   void OnDirectory(std::shared_ptr<const Directory> directory);
   EdgeMetrics& metrics() { return metrics_; }
-  // This daemon has read `revision` of the store. Thread-safe, like
-  // fleet_size().
-  void SetStoreRevision(std::uint64_t revision);
+  // The store has just answered this daemon and holds nothing later than
+  // `revision`. Thread-safe, like the next two.
+  void SetStoreConfirmed(std::uint64_t revision);
+  // Whether other daemons ask this one about the store.
+  bool is_sentinel() const { return gossip_ && gossip_->is_sentinel(); }
   // Number of daemons known to be alive, 0 before they are known.
   std::size_t fleet_size() const { return fleet_size_; }
 
--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -17,17 +17,21 @@
 constexpr std::size_t kMaxNameBytes = 64;
 // Units of an encoded processor share per processor.
 constexpr double kShareUnitsPerProcessor = 100;
+// A longer time since a confirmation is as good as none.
+constexpr std::uint64_t kMaxConfirmationAgeMs = 3'600'000;
 
 // Address, incarnation, index of the data centre, processor share, and 0 if the
 // member is alive, otherwise 1 plus the seconds for which it has been gone.
 using WireMember = std::tuple<std::string, std::uint64_t, std::uint32_t,
                               std::uint32_t, std::uint32_t>;
 // Version, kind, number, about, digest, whether the sender knows the fleet,
-// revision, data centres, and members, of which the sender is the first.
+// revision, data centres, members, of which the sender is the first, and 0 or 1
+// plus the milliseconds since the store confirmed the revision. Daemons of
+// earlier releases send no such time and ignore it.
 using WireMessage =
     std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::string,
                std::uint64_t, bool, std::uint64_t, std::vector<std::string>,
-               std::vector<WireMember>>;
+               std::vector<WireMember>, std::uint64_t>;
 
 class MemberPacker {
  public:
@@ -67,7 +71,7 @@
 
 GossipMessage ParseMessage(const WireMessage& wire) {
   const auto& [version, kind, number, about, digest, knows_fleet, revision,
-               data_centres, members] = wire;
+               data_centres, members, confirmation_age] = wire;
   const bool exceeds_limits =
       members.empty() ||
       members.size() > Membership::kMaxUpdatesPerMessage + 1 ||
@@ -85,6 +89,10 @@
                      .digest = digest,
                      .knows_fleet_size = knows_fleet},
       .store_revision = revision};
+  if (confirmation_age > 0 && confirmation_age <= kMaxConfirmationAgeMs) {
+    message.store_confirmation_age =
+        std::chrono::milliseconds(confirmation_age - 1);
+  }
   message.membership.sender = ParseMember(members.front(), data_centres).member;
   for (std::size_t i = 1; i < members.size(); ++i) {
     message.membership.updates.push_back(ParseMember(members[i], data_centres));
@@ -110,7 +118,12 @@
       WireMessage(kGossipVersion, static_cast<std::uint32_t>(membership.kind),
                   membership.probe_number, membership.target, membership.digest,
                   membership.knows_fleet_size, message.store_revision,
-                  packer.data_centres(), packer.members()));
+                  packer.data_centres(), packer.members(),
+                  message.store_confirmation_age
+                      ? static_cast<std::uint64_t>(
+                            ToMillis(*message.store_confirmation_age)) +
+                            1
+                      : 0));
   return {bytes.data(), bytes.size()};
 }
 
--- a/lacewingknot/edge/gossip_messages.h
+++ b/lacewingknot/edge/gossip_messages.h
@@ -1,5 +1,6 @@
 // Encodes and decodes gossip datagrams between daemons: membership messages
-// with the revision of the configuration store that the sender has seen.
+// with the revision of the configuration store that the sender has seen, and
+// how long ago the store confirmed it.
 //
 // A datagram is a msgpack array. Each data centre is named once and referred to
 // by index, and processor shares are in hundredths of a processor. A member
@@ -15,6 +16,7 @@
 #define LACEWINGKNOT_EDGE_GOSSIP_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +28,9 @@
 struct GossipMessage {
   MemberMessage membership;
   std::uint64_t store_revision = 0;
+  // Time since the store confirmed that nothing later than store_revision
+  // exists, in whole milliseconds; empty if it never did.
+  std::optional<Duration> store_confirmation_age;
 };
 
 std::string EncodeGossip(const GossipMessage& message);
--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <msgpack.hpp>
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -15,7 +17,8 @@
                                                   .data_centre = "regina",
                                                   .processor_share = 0.12},
                                        .digest = 77},
-                        .store_revision = 412};
+                        .store_revision = 412,
+                        .store_confirmation_age = std::chrono::seconds(3)};
   for (std::size_t i = 0; i < Membership::kMaxUpdatesPerMessage; ++i) {
     message.membership.updates.push_back(
         {.member = {
@@ -33,6 +36,7 @@
   ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
   const MemberMessage& membership = decoded.value().membership;
   EXPECT_EQ(decoded.value().store_revision, 412U);
+  EXPECT_EQ(decoded.value().store_confirmation_age, std::chrono::seconds(3));
   EXPECT_EQ(membership.kind, MemberMessageKind::kList);
   EXPECT_EQ(membership.probe_number, 31U);
   EXPECT_EQ(membership.target, "10.0.0.2:7380");
@@ -45,6 +49,22 @@
   EXPECT_EQ(membership.updates[2].gone_for, std::nullopt);
 }
 
+// Daemons of earlier releases send nine fields.
+TEST(GossipMessageTest, Message_WithoutConfirmationAge_IsAccepted) {
+  const std::string bytes = EncodeGossip(MaxSizeMessage());
+  const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+  msgpack::sbuffer earlier;
+  msgpack::packer<msgpack::sbuffer> packer(earlier);
+  const auto& fields = handle.get().via.array;
+  packer.pack_array(fields.size - 1);
+  for (std::uint32_t i = 0; i + 1 < fields.size; ++i)
+    packer.pack(fields.ptr[i]);
+  const auto decoded = DecodeGossip({earlier.data(), earlier.size()});
+  ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+  EXPECT_EQ(decoded.value().store_revision, 412U);
+  EXPECT_EQ(decoded.value().store_confirmation_age, std::nullopt);
+}
+
 TEST(GossipMessageTest, Message_MaxMembers_FitsInDatagram) {
   EXPECT_LE(EncodeGossip(MaxSizeMessage()).size(), 1'400U);
 }
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -73,21 +73,44 @@
 }
 
 void PeerGossip::RunRound() {
-  Send(membership_.Tick(BootClock::now()));
+  const TimePoint now = BootClock::now();
+  Send(membership_.Tick(now));
   ReportFleetSize();
   ReportMembers();
+  PingSentinels(now);
   timer_.expires_after(membership_.interval());
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) RunRound();
   });
 }
 
+void PeerGossip::SetStoreConfirmed(std::uint64_t revision) {
+  store_revision_ = revision;
+  store_confirmed_at_ = BootClock::now().time_since_epoch().count();
+}
+
+void PeerGossip::PingSentinels(TimePoint now) {
+  if (is_sentinel_ || sentinels_.empty()) return;
+  std::vector<OutgoingMemberMessage> pings{membership_.Ping(sentinels_[0])};
+  if (sentinels_.size() > 1 &&
+      now - last_report_confirmed_at_ > kReportOverdue) {
+    pings.push_back(membership_.Ping(sentinels_[1]));
+  }
+  Send(pings);
+}
+
 void PeerGossip::Send(std::span<const OutgoingMemberMessage> messages) {
+  const TimePoint::rep confirmed_at = store_confirmed_at_;
+  std::optional<Duration> age;
+  if (confirmed_at != 0) {
+    age = BootClock::now() - TimePoint(TimePoint::duration(confirmed_at));
+  }
   for (const OutgoingMemberMessage& outgoing : messages) {
     const auto endpoint = ParseEndpoint(outgoing.to);
     if (!endpoint) continue;  // Sent by a peer, and may be malformed.
-    const std::string bytes = EncodeGossip(
-        {.membership = outgoing.message, .store_revision = store_revision_});
+    const std::string bytes = EncodeGossip({.membership = outgoing.message,
+                                            .store_revision = store_revision_,
+                                            .store_confirmation_age = age});
     boost::system::error_code ignored;  // Datagrams may be lost anyway.
     socket_.send_to(asio::buffer(bytes),
                     asio::ip::udp::endpoint(endpoint.value().address(),
@@ -114,10 +137,15 @@
               {"reason", message.error().detail}});
     return;
   }
-  Send(membership_.OnMessage(message.value().membership, BootClock::now()));
-  if (message.value().store_revision > store_revision_) {
-    options_.on_store_revision(message.value().store_revision);
+  const TimePoint now = BootClock::now();
+  Send(membership_.OnMessage(message.value().membership, now));
+  StoreReport report{.revision = message.value().store_revision};
+  if (const auto& age = message.value().store_confirmation_age) {
+    report.confirmed_at = now - *age;
+    last_report_confirmed_at_ =
+        std::max(last_report_confirmed_at_, report.confirmed_at);
   }
+  if (options_.on_store_report) options_.on_store_report(report);
 }
 
 void PeerGossip::ReportMembers() {
@@ -136,6 +164,18 @@
                                     {"gone", gone.size()},
                                     {"first_gone", JoinFirst(gone)}});
   reported_addresses_ = std::move(addresses);
+  const auto sentinels = SelectSentinels(alive);
+  is_sentinel_ = std::find(sentinels.begin(), sentinels.end(),
+                           options_.listen) != sentinels.end();
+  auto ranked = RankSentinels(
+      {.address = options_.listen, .data_centre = options_.data_centre}, alive,
+      sentinels);
+  if (ranked != sentinels_) {
+    LogEvent(Event::kSentinelsChanged,
+             {{"is_sentinel", is_sentinel_.load() ? "yes" : "no"},
+              {"asks", JoinFirst(ranked)}});
+  }
+  sentinels_ = std::move(ranked);
   if (options_.on_members) options_.on_members(alive);
 }
 
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -1,6 +1,7 @@
 // Sends and receives the membership datagrams of this daemon
 // (policy/membership.h). Each datagram also carries the revision of the
-// configuration store that its sender has seen.
+// configuration store that its sender has seen, and when the store confirmed
+// it. In each round the daemon also asks a sentinel (policy/watch_schedule.h).
 //
 // Nothing depends on a single datagram: losing one delays an update by one
 // round. A daemon that receives a later revision than its own reads the store
@@ -17,9 +18,9 @@
 //       io, {.listen = "10.1.0.9:7380",
 //            .seed_addresses = {"10.2.0.9:7380"},
 //            .on_fleet_size = [](std::size_t size) { Divide(size); },
-//            .on_store_revision = [](std::uint64_t revision) { Read(); }});
+//            .on_store_report = [](const StoreReport& report) { ... }});
 //   if (auto started = gossip.Start(); !started) return started.error();
-//   gossip.set_store_revision(412);
+//   gossip.SetStoreConfirmed(412);
 
 #ifndef LACEWINGKNOT_EDGE_PEER_GOSSIP_H_
 #define LACEWINGKNOT_EDGE_PEER_GOSSIP_H_
@@ -37,6 +38,7 @@
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/policy/membership.h"
+#include "lacewingknot/policy/watch_schedule.h"
 
 namespace lacewingknot::edge {
 
@@ -52,8 +54,8 @@
     std::function<void(std::size_t size)> on_fleet_size;
     // Called when the set of live members has changed; at most once per round.
     std::function<void(std::span<const Member> members)> on_members;
-    // Called when a peer reports a later store revision than this daemon's.
-    std::function<void(std::uint64_t revision)> on_store_revision;
+    // Called with what a peer reports of the store.
+    std::function<void(const StoreReport& report)> on_store_report;
   };
 
   PeerGossip(boost::asio::io_context& io, Options options);
@@ -63,13 +65,16 @@
   // Notifies some peers that this daemon stops. Thread-safe.
   void AnnounceStop();
 
-  // Sets the revision that further datagrams report. Thread-safe.
-  void set_store_revision(std::uint64_t revision) {
-    store_revision_ = revision;
-  }
+  // The store has just answered this daemon and holds nothing later than
+  // `revision`; further datagrams report it. Thread-safe.
+  void SetStoreConfirmed(std::uint64_t revision);
+  // Whether other daemons ask this one about the store. Thread-safe.
+  bool is_sentinel() const { return is_sentinel_; }
 
  private:
   static constexpr std::size_t kMaxDatagramBytes = 4'096;
+  // Age of the latest report from which on a second sentinel is asked.
+  static constexpr Duration kReportOverdue = std::chrono::milliseconds(2'000);
 
   void RunRound();
   void Receive();
@@ -77,6 +82,7 @@
   void Send(std::span<const OutgoingMemberMessage> messages);
   void ReportFleetSize();
   void ReportMembers();
+  void PingSentinels(TimePoint now);
 
   Options options_;
   boost::asio::io_context& io_;
@@ -88,7 +94,13 @@
   std::size_t reported_size_ = 0;
   std::vector<std::string> reported_addresses_;
   std::uint64_t reported_version_ = 0;
+  // Sentinels that this daemon asks, in order of preference.
+  std::vector<std::string> sentinels_;
+  std::atomic<bool> is_sentinel_ = false;
+  TimePoint last_report_confirmed_at_{};  // Latest of all peers' reports.
   std::atomic<std::uint64_t> store_revision_ = 0;
+  // In ticks of the clock; 0 before the first confirmation.
+  std::atomic<TimePoint::rep> store_confirmed_at_ = 0;
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/peer_gossip_test.cc
+++ b/lacewingknot/edge/peer_gossip_test.cc
@@ -11,6 +11,7 @@
     std::unique_ptr<PeerGossip> gossip;
     std::size_t fleet_size = 0;
     std::uint64_t received_revision = 0;
+    TimePoint confirmed_at{};
   };
 
   // First of the ports in use here; no other test uses them.
@@ -30,9 +31,12 @@
                  .random_seed = static_cast<std::uint64_t>(number),
                  .on_fleet_size =
                      [&daemon](std::size_t size) { daemon.fleet_size = size; },
-                 .on_store_revision =
-                     [&daemon](std::uint64_t revision) {
-                       daemon.received_revision = revision;
+                 .on_store_report =
+                     [&daemon](const StoreReport& report) {
+                       daemon.received_revision =
+                           std::max(daemon.received_revision, report.revision);
+                       daemon.confirmed_at =
+                           std::max(daemon.confirmed_at, report.confirmed_at);
                      }});
     ASSERT_TRUE(daemon.gossip->Start().has_value());
   }
@@ -51,7 +55,7 @@
 
 TEST_F(PeerGossipTest, Daemons_OneCommonSeed_DiscoverFleetAndRevision) {
   for (int i = 0; i < 4; ++i) StartDaemon(i);
-  daemons_[2].gossip->set_store_revision(412);
+  daemons_[2].gossip->SetStoreConfirmed(412);
   RunUntil([&] {
     return std::all_of(daemons_.begin(), daemons_.end(), [](const auto& entry) {
       return entry.second.fleet_size == 4 &&
@@ -60,5 +64,29 @@
   });
 }
 
+TEST_F(PeerGossipTest, StoreConfirmed_BySentinels_IsReportedToOthers) {
+  for (int i = 0; i < 4; ++i) StartDaemon(i);
+  const auto is_sentinel = [](const auto& entry) {
+    return entry.second.gossip->is_sentinel();
+  };
+  RunUntil([&] {
+    return std::count_if(daemons_.begin(), daemons_.end(), is_sentinel) == 2;
+  });
+  const TimePoint before = BootClock::now();
+  for (auto& entry : daemons_) {
+    if (is_sentinel(entry)) entry.second.gossip->SetStoreConfirmed(412);
+  }
+  RunUntil([&] {
+    return std::all_of(daemons_.begin(), daemons_.end(), [&](auto& entry) {
+      // An age is sent in whole milliseconds.
+      return is_sentinel(entry) ||
+             entry.second.confirmed_at >= before - std::chrono::milliseconds(1);
+    });
+  });
+  for (const auto& entry : daemons_) {
+    EXPECT_LE(entry.second.confirmed_at, BootClock::now());
+  }
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/policy/change_coalescing.cc
+++ b/lacewingknot/policy/change_coalescing.cc
@@ -9,6 +9,9 @@
 // Share of `max_apply_delay` that a delay takes; the remainder is for a slow
 // store, a lost answer and the next call.
 constexpr double kApplyDelayShare = 0.4;
+// The same for a sentinel (watch_schedule.h), whose peers take another two
+// seconds to ask it.
+constexpr double kSentinelDelayShare = 0.1;
 // While queries lack upstreams: the delay for each daemon of the fleet, which
 // bounds the fleet to 140 calls a second, and the shortest delay.
 constexpr Duration kDelayPerDaemon = std::chrono::microseconds(7'150);
@@ -21,7 +24,8 @@
 Duration CoalescingDelay(const CoalescingInputs& inputs) {
   if (inputs.has_backlog) return Duration::zero();
   const auto longest = std::chrono::duration_cast<Duration>(
-      inputs.max_apply_delay * kApplyDelayShare);
+      inputs.max_apply_delay *
+      (inputs.is_sentinel ? kSentinelDelayShare : kApplyDelayShare));
   if (!inputs.lacks_upstreams) return longest;
   const std::size_t daemons =
       inputs.fleet_size <= 1 ? kUnknownFleetSize : inputs.fleet_size;
--- a/lacewingknot/policy/change_coalescing.h
+++ b/lacewingknot/policy/change_coalescing.h
@@ -26,6 +26,8 @@
   bool has_backlog = false;
   // Queries have just been refused for lack of upstreams.
   bool lacks_upstreams = false;
+  // Other daemons rely on this one to see changes soon.
+  bool is_sentinel = false;
   // Daemons that read the store; 1 or less if the others are not known yet.
   std::size_t fleet_size = 0;
   // Longest time from a change in the store until it must be in force.
--- a/lacewingknot/policy/membership.cc
+++ b/lacewingknot/policy/membership.cc
@@ -477,6 +477,14 @@
   return outgoing;
 }
 
+OutgoingMemberMessage Membership::Ping(const std::string& address) {
+  return {.to = address,
+          .message = {.kind = MemberMessageKind::kProbe,
+                      .sender = options_.self,
+                      .digest = digest_,
+                      .knows_fleet_size = knows_fleet_size(now_)}};
+}
+
 std::vector<OutgoingMemberMessage> Membership::Leave() {
   is_leaving_ = true;
   std::vector<OutgoingMemberMessage> outgoing;
--- a/lacewingknot/policy/membership.h
+++ b/lacewingknot/policy/membership.h
@@ -117,6 +117,9 @@
   // Processes a received message. Returns the messages to send in response.
   std::vector<OutgoingMemberMessage> OnMessage(const MemberMessage& message,
                                                TimePoint now);
+  // Returns a probe that changes nothing if it is not acknowledged, for what
+  // datagrams carry besides membership.
+  OutgoingMemberMessage Ping(const std::string& address);
   // Announces to some members that this daemon stops.
   std::vector<OutgoingMemberMessage> Leave();
 
