--- a/lacewingknot/policy/watch_schedule.cc
+++ b/lacewingknot/policy/watch_schedule.cc
@@ -81,6 +81,7 @@
 
 Duration WatchSchedule::Wait(TimePoint now, const State& state) const {
   if (state.is_store_lost || is_store_suspected_) return kOutageWait;
+  if (state.is_behind) return kMinWait;
   if (state.is_sentinel) {
     return std::clamp(confirmed_at_ + SentinelInterval() - now, kMinWait,
                       SentinelInterval());
--- a/lacewingknot/policy/watch_schedule.h
+++ b/lacewingknot/policy/watch_schedule.h
@@ -55,6 +55,8 @@
     bool is_sentinel = false;
     // The last call failed.
     bool is_store_lost = false;
+    // A peer has seen a later revision, so that the store has an answer ready.
+    bool is_behind = false;
   };
 
   explicit WatchSchedule(Options options) : options_(options) {}
