Answers that break off at any byte are never passed on or merged as whole

Another operator's report: an upstream stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body. It cannot happen here: an answer is complete only when its framing says so, and a close counts as an end only after a whole head without a length.

Two tests break off an answer after each of its bytes, with a length, chunked and without, for requests that are passed on and for parts.

--- a/lacewingknot/edge/pass_session_test.cc
+++ b/lacewingknot/edge/pass_session_test.cc
@@ -163,6 +163,41 @@
   EXPECT_EQ(SendRequest("/p/1").status, kStatusBadGateway);
 }
 
+// Guards against passing on an answer whose head broke off as a whole answer
+// with an empty or short body.
+TEST_F(PassSessionTest, Answer_BrokenOffAnywhere_IsNotPassedOnAsWhole) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Signature: sig-fort\r\nX-Id: id-1\r\n";
+  struct Framing {
+    std::string headers;
+    std::string body;
+    bool ends_with_connection = false;
+  };
+  for (const Framing& framing :
+       {Framing{.headers = "Content-Length: 4\r\n\r\n", .body = "fort"},
+        Framing{.headers = "Transfer-Encoding: chunked\r\n\r\n",
+        .body = "4\r\nfort\r\n0\r\n\r\n"},
+        Framing{
+            .headers = "\r\n", .body = "fort", .ends_with_connection = true}}) {
+    const std::string whole = head + framing.headers + framing.body;
+    // Without a length, nothing shows that the body broke off.
+    const std::size_t cuts = framing.ends_with_connection
+                                 ? head.size() + framing.headers.size()
+                                 : whole.size();
+    for (std::size_t sent = 0; sent < cuts; ++sent) {
+      upstreams_.clear();
+      AddUpstream("s", [&](const FakeRequest&, ConnectionRef connection) {
+        connection->ReplyRaw(whole.substr(0, sent), true);
+      });
+      PublishPass(RetryPolicy::kAtMostOnce);
+      const HttpReply reply = SendRequest("/p/1");
+      EXPECT_EQ(reply.status, kStatusBadGateway) << whole.substr(0, sent);
+      EXPECT_EQ(reply.body, "");
+      EXPECT_EQ(reply.header("X-Signature"), "");
+    }
+  }
+}
+
 TEST_F(PassSessionTest, Answer_WithoutLength_EndsWithItsConnection) {
   AddUpstream("s", [](const FakeRequest& request, ConnectionRef connection) {
     connection->ReplyRaw("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: " +
--- a/lacewingknot/edge/scatter_session_test.cc
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -81,6 +81,28 @@
   EXPECT_EQ(reply.header("X-Missing"), "1");
 }
 
+// Guards against merging a part of an answer whose head broke off.
+TEST_F(ScatterSessionTest, Part_BrokenOffAnywhere_IsNotMerged) {
+  const std::string record = MakeRecord('z');
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nX-Signature: sig-z\r\nX-Id: id-1\r\n"
+      "Content-Length: 16\r\n\r\n" +
+      record;
+  for (std::size_t sent = 0; sent < whole.size(); ++sent) {
+    upstreams_.clear();
+    AddUpstream("a", RepliesWith(MakeRecord('a')));
+    AddUpstream("b", [&](const FakeRequest&,
+                         const std::shared_ptr<testing::FakeConnection>& at) {
+      at->ReplyRaw(whole.substr(0, sent), true);
+    });
+    ApplyRoutes({ScatterRoute({"a", "b"})});
+    const HttpReply reply = SendRequest("/s/1");
+    EXPECT_EQ(reply.status, kStatusOk);
+    EXPECT_EQ(reply.header("X-Missing"), "1") << whole.substr(0, sent);
+    EXPECT_EQ(reply.body, MakeRecord('a'));
+  }
+}
+
 TEST_F(ScatterSessionTest, Part_OfAnotherRequest_IsNotMerged) {
   AddUpstream("a", RepliesWith(MakeRecord('k')));
   AddUpstream("b", [](const FakeRequest&, ConnectionRef connection) {
