A stopping daemon answers every request before it exits

Cause: a drain ended by exiting at 0.5 s before the end of the grace time, whatever requests were still running, and requests were taken until then with deadlines beyond it.

A stop now sets a final deadline, 0.75 s before the end. Requests taken after the stop signal get no later deadline, so upstreams are told the truth. One that arrives when less than its latency objective is left is refused at once as not run, with a short Retry-After, since another daemon can serve it. What is still unanswered at the final deadline is answered then: partial if that suffices, 503 if nothing was sent, else 504.

StoppingEdgeTest: both tests fail on the code before (the connection ended without an answer; the late request was taken) and pass now. The query daemon's own stop was not looked at.

--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -21,6 +21,9 @@
 constexpr Duration kRoundTripWithConnect = std::chrono::milliseconds(12);
 // Retry-After of requests that arrive before the first configuration.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(400);
+// Retry-After of requests that arrive too late before this daemon stops. Others
+// can serve them at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 
 std::string RetryAfterHeader(Duration after) {
   std::array<char, 48> text{};
@@ -227,13 +230,22 @@
     OnAnswer({.status = kStatusNotFound});
     return;
   }
+  const TimePoint now = BootClock::now();
+  if (options_.core->final_deadline() - now < route->spec->target_latency) {
+    LogEvent(Event::kRequestRejected, {{"id", request.request_id},
+                                       {"status", kStatusUnavailable},
+                                       {"cause", "stopping"}});
+    OnAnswer(
+        {.status = kStatusUnavailable, .retry_after = kStoppingRetryAfter});
+    return;
+  }
   const Duration round_trip =
       request_count_ == 1 ? kRoundTripWithConnect : kRoundTrip;
   auto session = StartSession({.core = options_.core,
                                .routes = routes,
                                .route = route,
                                .request = std::move(request),
-                               .started_at = BootClock::now(),
+                               .started_at = now,
                                .client_round_trip = round_trip,
                                .answer = answer});
   // The session may have answered already.
@@ -305,6 +317,11 @@
   return true;
 }
 
+void ClientConnection::ExpireRequest() {
+  // The answer ends the session.
+  if (const auto session = session_) session->Expire();
+}
+
 void ClientConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -39,6 +39,8 @@
   // Closes the connection if no request is running or being read. Returns
   // whether it did.
   bool CloseIfIdle();
+  // Answers the request that is running, if any, without waiting longer.
+  void ExpireRequest();
   bool is_idle() const {
     return is_lingering_ || (!session_ && !has_request_ && buffer_.empty());
   }
--- a/lacewingknot/edge/client_connection_test.cc
+++ b/lacewingknot/edge/client_connection_test.cc
@@ -124,6 +124,44 @@
   EXPECT_EQ(server_.connections(), 0U);
 }
 
+class StoppingEdgeTest : public testing::EdgeFixture {
+ protected:
+  void SetUp() override {
+    RouteSpec route = PassRoute("s", RetryPolicy::kAtMostOnce);
+    route.timeout = std::chrono::seconds(10);
+    upstream_ = &AddUpstream("s", NeverReplies());
+    ApplyRoutes({route});
+  }
+  ScriptedUpstream* upstream_ = nullptr;
+};
+
+// Guards against cutting requests without an answer when the grace time ends.
+TEST_F(StoppingEdgeTest, Request_UnfinishedAtEndOfGrace_IsAnsweredBeforeExit) {
+  RawClient client(io_, server_.port());
+  io_.poll();
+  bool stopped = false;
+  server_.Drain([&] { stopped = true; });
+  client.Write(std::string(kHead) + "X-Id: a\r\n\r\n");
+  RunUntil([&] { return stopped; });
+  EXPECT_EQ(upstream_->requests.size(), 1U);
+  EXPECT_NE(client.received().find(" 504 "), std::string::npos);
+}
+
+TEST_F(StoppingEdgeTest, Request_TooLateInGrace_IsRefusedAsNotRun) {
+  RawClient client(io_, server_.port());
+  io_.poll();
+  bool stopped = false;
+  server_.Drain([&] { stopped = true; });
+  RunFor(milliseconds(2'500));
+  client.Write(kHead);  // Keeps the connection open.
+  RunFor(milliseconds(2'500));
+  client.Write("X-Id: a\r\n\r\n");
+  RunUntil([&] { return stopped; });
+  EXPECT_NE(client.received().find(" 503 "), std::string::npos);
+  EXPECT_NE(client.received().find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(upstream_->requests.size(), 0U);
+}
+
 class UnconfiguredEdgeTest : public testing::EdgeFixture {};
 
 TEST_F(UnconfiguredEdgeTest,
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -110,6 +110,11 @@
   // fleet are divided by it.
   void set_fleet_size(std::size_t size);
 
+  // The daemon stops and answers every request before `end`.
+  void set_final_deadline(TimePoint end) { final_deadline_ = end; }
+  // TimePoint::max() unless the daemon stops.
+  TimePoint final_deadline() const { return final_deadline_; }
+
   void OnUpstreamsLacking() const { options_.on_upstreams_lacking(); }
   bool is_enabled(Mechanism mechanism) const {
     return !options_.disabled.Contains(mechanism);
@@ -174,6 +179,7 @@
   RelayTable relays_;
   std::size_t fleet_size_ = kMinFleetSize;
   std::uint64_t last_query_number_ = 0;
+  TimePoint final_deadline_ = TimePoint::max();
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_server.cc
+++ b/lacewingknot/edge/edge_server.cc
@@ -1,7 +1,6 @@
 #include "lacewingknot/edge/edge_server.h"
 
 #include <utility>
-#include <vector>
 
 #include "lacewingknot/edge/internal/listening.h"
 
@@ -49,19 +48,30 @@
   is_draining_ = true;
   drain_started_ = BootClock::now();
   on_drained_ = std::move(done);
+  options_.core->set_final_deadline(drain_started_ + options_.stop_grace -
+                                    kExitMargin - kFinalAnswerTime);
   ContinueDrain();
 }
 
+std::vector<std::shared_ptr<ClientConnection>> EdgeServer::OpenConnections()
+    const {
+  std::vector<std::shared_ptr<ClientConnection>> open;
+  for (const auto& [key, connection] : connections_) open.push_back(connection);
+  return open;
+}
+
 void EdgeServer::ContinueDrain() {
-  const Duration elapsed = BootClock::now() - drain_started_;
+  const TimePoint now = BootClock::now();
+  const Duration elapsed = now - drain_started_;
+  if (now >= options_.core->final_deadline()) {
+    for (const auto& connection : OpenConnections()) {
+      connection->ExpireRequest();
+    }
+  }
   if (elapsed >= kBalancerNoticePeriod) {
     boost::system::error_code ignored;  // A second close has no effect.
     acceptor_.close(ignored);
-    std::vector<std::shared_ptr<ClientConnection>> open;
-    for (const auto& [key, connection] : connections_) {
-      open.push_back(connection);
-    }
-    for (const auto& connection : open) connection->CloseIfIdle();
+    for (const auto& connection : OpenConnections()) connection->CloseIfIdle();
     if (connections_.empty() || elapsed >= options_.stop_grace - kExitMargin) {
       std::exchange(on_drained_, nullptr)();
       return;
--- a/lacewingknot/edge/edge_server.h
+++ b/lacewingknot/edge/edge_server.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/edge/client_connection.h"
@@ -32,8 +33,10 @@
   Result<void> Listen();
 
   // Stops gracefully: serves until the balancer has noticed that the daemon is
-  // not ready, closes idle connections, waits for the last answers and calls
-  // `done` once, at the latest kExitMargin before `stop_grace` ends.
+  // not ready, closes idle connections and waits for the last answers. Requests
+  // that are still unanswered kFinalAnswerTime before the end are answered
+  // then. Calls `done` once, at the latest kExitMargin before `stop_grace`
+  // ends.
   void Drain(std::function<void()> done);
 
   // The port on which the server listens.
@@ -47,10 +50,13 @@
       std::chrono::milliseconds(3'300);
   // Part of the grace time that is reserved for the exit of the process.
   static constexpr Duration kExitMargin = std::chrono::milliseconds(500);
+  // Time to write the last answers before that.
+  static constexpr Duration kFinalAnswerTime = std::chrono::milliseconds(250);
   static constexpr Duration kDrainPollInterval = std::chrono::milliseconds(100);
 
   void Accept();
   void ContinueDrain();
+  std::vector<std::shared_ptr<ClientConnection>> OpenConnections() const;
 
   Options options_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -28,6 +28,7 @@
   // overloaded.
   static constexpr std::int64_t kMaxRefusals = 3;
 
+  void OnDeadline() override;
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
@@ -39,7 +40,6 @@
   // Whether another attempt is safe: the request cannot have run, or it is
   // idempotent and has attempts left.
   bool CanRunAgain() const;
-  void OnDeadline();
   void Refuse(std::string_view cause);
 
   ServicePtr service_;
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -46,8 +46,14 @@
   if (request().time_left) {
     time_left = std::min(time_left, *request().time_left);
   }
-  deadline_ =
-      started_at() + std::max(time_left - kAnswerDeadlineMargin, time_left / 2);
+  deadline_ = std::min(
+      started_at() + std::max(time_left - kAnswerDeadlineMargin, time_left / 2),
+      core().final_deadline());
+}
+
+void RequestSession::Expire() {
+  deadline_ = std::min(deadline_, BootClock::now());
+  OnDeadline();
 }
 
 void RequestSession::Cancel() {
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -67,8 +67,12 @@
 
   // Ends the session without an answer, because the client disconnected.
   void Cancel();
+  // Ends the session with an answer, as if its deadline had passed.
+  void Expire();
 
  protected:
+  // Answers the request, because its deadline has passed.
+  virtual void OnDeadline() = 0;
   // Stops all work for this request.
   virtual void AbandonAttempts() = 0;
   // Details for the log: "key=value" pairs, separated by spaces.
@@ -89,7 +93,8 @@
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
   // The latest time for an answer: the client's deadline or the route's
-  // timeout, whichever is earlier, less a margin for the way back.
+  // timeout, whichever is earlier, less a margin for the way back; earlier if
+  // the daemon stops.
   TimePoint deadline() const { return deadline_; }
   bool finished() const { return finished_; }
 
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -121,8 +121,8 @@
   }
   answer_timer_ = core().timers().At(
       soft_deadline_, [self] { self->Decide(BootClock::now()); });
-  deadline_timer_ = core().timers().At(
-      deadline(), [self] { self->Decide(BootClock::now()); });
+  deadline_timer_ =
+      core().timers().At(deadline(), [self] { self->OnDeadline(); });
   Decide(now);
 }
 
@@ -488,6 +488,8 @@
   }
 }
 
+void ScatterSession::OnDeadline() { Decide(BootClock::now()); }
+
 void ScatterSession::Answer() {
   std::vector<std::string_view> parts;
   ClientAnswer answer{.status = kStatusOk};
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -77,6 +77,7 @@
   // attempts directly.
   static constexpr int kMaxDeclinedAttempts = 4;
 
+  void OnDeadline() override;
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
