Keep to what upstreams say: nothing to one that leaves, a wait after a refusal

An upstream that leaves says so in all its answers, and one that refuses may name a time in which it wants no requests. The edge read neither: a daemon that the store turned away went on sending to an upstream that left, and refusals were answered by back-off of its own making.

policy/upstream_gate.h decides for both, and for the stated rate, whether an attempt of any kind may go to an upstream: checked where a replica is chosen, and for attempts that wait for a connection. Neither counts as a failure. E1208, E1209, explain and the counter of replicas passed over name it.

What one daemon learns is not passed on to others yet.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -64,6 +64,8 @@
     EventInfo{Event::kUpstreamDraining, "upstream_draining", Level::kInfo},
     EventInfo{Event::kUpstreamBelief, "upstream_belief", Level::kInfo},
     EventInfo{Event::kUpstreamRateStated, "upstream_rate_stated", Level::kInfo},
+    EventInfo{Event::kUpstreamWaits, "upstream_waits", Level::kInfo},
+    EventInfo{Event::kUpstreamLeaving, "upstream_leaving", Level::kInfo},
     EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning},
     EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo},
     EventInfo{Event::kQueryRefused, "query_refused", Level::kInfo},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -64,6 +64,8 @@
   kAnswerRejected = 1205,
   kUpstreamBelief = 1206,
   kUpstreamRateStated = 1207,
+  kUpstreamWaits = 1208,
+  kUpstreamLeaving = 1209,
   kQueryPartial = 1301,
   kQueryRefused = 1302,
   kWriteUnknown = 1303,
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -77,15 +77,15 @@
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
-  service = std::make_shared<Service>(
-      Service::Options{.name = name,
-                       .extra_load = {},
-                       .started_at = options_.started_at,
-                       .vm = options_.vm,
-                       .choice = ReplicaChoiceWithout(options_.disabled),
-                       .on_withheld = [metrics = options_.metrics] {
-                         metrics->OnReplicaPassedOver("stated_rate");
-                       }});
+  service = std::make_shared<Service>(Service::Options{
+      .name = name,
+      .extra_load = {},
+      .started_at = options_.started_at,
+      .vm = options_.vm,
+      .choice = ReplicaChoiceWithout(options_.disabled),
+      .on_withheld = [metrics = options_.metrics](GateDecision reason) {
+        metrics->OnReplicaPassedOver(GateDecisionName(reason));
+      }});
   ApplyShares(*service);
   return service;
 }
@@ -280,15 +280,10 @@
                                               {"cause", cause}});
           },
       .on_connection_opened = [metrics] { metrics->OnConnectionOpened(); },
-      .on_stated_rate_change =
-          [](const UpstreamRecord& about, const StatedRateLimiter& limiter) {
-            LogEvent(
-                Event::kUpstreamRateStated,
-                {{"upstream", about.id},
-                 {"service", about.service},
-                 {"state", limiter.stated() ? "stated" : "ended"},
-                 {"per_second", ToOneDecimal(limiter.stated().value_or(0))},
-                 {"own_per_second", ToOneDecimal(limiter.OwnRate())}});
+      .on_statement_change =
+          [this](const UpstreamRecord& about, const UpstreamGate& gate,
+                 const UpstreamGate::Changes& changes) {
+            OnStatementChange(about, gate, changes);
           }});
   upstreams_[record.id] = upstream;
   const ServicePtr service = FindOrCreateService(record.service);
@@ -296,6 +291,35 @@
   ApplyShares(*service);
 }
 
+void EdgeCore::OnStatementChange(const UpstreamRecord& about,
+                                 const UpstreamGate& gate,
+                                 const UpstreamGate::Changes& changes) {
+  const EventField upstream("upstream", about.id);
+  const EventField service("service", about.service);
+  if (changes.rate) {
+    const StatedRateLimiter& limiter = gate.rate_limiter();
+    LogEvent(Event::kUpstreamRateStated,
+             {upstream,
+              service,
+              {"state", limiter.stated() ? "stated" : "ended"},
+              {"per_second", ToOneDecimal(limiter.stated().value_or(0))},
+              {"own_per_second", ToOneDecimal(limiter.OwnRate())}});
+  }
+  if (changes.wait) {
+    LogEvent(Event::kUpstreamWaits,
+             {upstream,
+              service,
+              {"wait_ms", ToMillis(gate.wait_until() - BootClock::now())}});
+  }
+  if (changes.leaving) {
+    LogEvent(
+        Event::kUpstreamLeaving,
+        {upstream, service, {"listed_as_draining", about.draining ? 1 : 0}});
+    FindOrCreateService(about.service)->UpdateDataCentres();
+    UpdateReplicaDataCentres();
+  }
+}
+
 void EdgeCore::RemoveUpstream(const std::string& id) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -154,6 +154,8 @@
   ServicePtr FindOrCreateService(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
   void RemoveUpstream(const std::string& id);
+  void OnStatementChange(const UpstreamRecord& about, const UpstreamGate& gate,
+                         const UpstreamGate::Changes& changes);
   void UpdateUsable();
   // Passes the data centres that hold replicas of shards to the relay table.
   void UpdateReplicaDataCentres();
--- a/lacewingknot/edge/explanation.cc
+++ b/lacewingknot/edge/explanation.cc
@@ -10,16 +10,19 @@
 constexpr double kFailingThreshold = 0.3;
 
 std::string_view ReasonFor(const Upstream& upstream, const ReplicaLoad& load,
-                           double slowness, const Directory* directory) {
+                           double slowness, const Directory* directory,
+                           TimePoint now) {
   const UpstreamRecord& record = upstream.record();
   if (record.draining) return "draining";
   if (directory != nullptr &&
       directory->evacuated.count(record.data_centre) > 0) {
     return "evacuated";
   }
+  if (upstream.gate().is_leaving()) return "leaving";
   if (!upstream.is_usable()) return "replaced";
   if (load.is_backing_off) return "backing_off";
-  if (upstream.rate_limiter().stated()) return "rate_limited";
+  if (now < upstream.gate().wait_until()) return "waiting";
+  if (upstream.gate().rate_limiter().stated()) return "rate_limited";
   if (IsSuspect(load, {})) return "silent";
   if (slowness >= kSlowThreshold) return "slow";
   if (load.failure_share >= kFailingThreshold) return "failing";
@@ -37,13 +40,13 @@
           .address = record.address,
           .data_centre = record.data_centre,
           .usable = upstream.is_usable() && !load.is_backing_off,
-          .reason = ReasonFor(upstream, load, slowness, directory),
+          .reason = ReasonFor(upstream, load, slowness, directory, now),
           .slowness = slowness,
           .failure_share = load.failure_share,
           .in_flight = load.in_flight,
           .queued = load.queued,
-          .stated_rate = upstream.rate_limiter().stated().value_or(0),
-          .own_rate = upstream.rate_limiter().OwnRate()};
+          .stated_rate = upstream.gate().rate_limiter().stated().value_or(0),
+          .own_rate = upstream.gate().rate_limiter().OwnRate()};
 }
 
 }  // namespace
--- a/lacewingknot/edge/explanation.h
+++ b/lacewingknot/edge/explanation.h
@@ -21,8 +21,8 @@
   std::string address;
   std::string data_centre;
   bool usable = false;
-  // The first that applies of: draining, evacuated, replaced, backing_off,
-  // rate_limited, silent, slow, failing, good.
+  // The first that applies of: draining, evacuated, leaving, replaced,
+  // backing_off, waiting, rate_limited, silent, slow, failing, good.
   std::string_view reason;
   double slowness = 1;       // Expected latency relative to the service's mean.
   double failure_share = 0;  // Of recent attempts, 0 to 1.
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -31,6 +31,17 @@
   return value;
 }
 
+// Bounds of numbers in statements of upstreams.
+constexpr double kMaxRate = 1e9;
+constexpr double kMaxWaitSeconds = 1e6;
+
+// Parses a number that is not negative, and caps it; empty if `text` is none.
+std::optional<double> ParseFinite(string_view text, double max) {
+  const auto number = ParseNumber<double>(text);
+  if (!number || !std::isfinite(*number) || *number < 0) return std::nullopt;
+  return std::min(*number, max);
+}
+
 std::string ToString(string_view view) { return {view.data(), view.size()}; }
 
 // The most bytes that are reserved for a body before it arrives.
@@ -156,12 +167,17 @@
       reply_.signature = ToString(value);
     } else if (iequals(name_text, names_.not_run)) {
       reply_.not_run = true;
-    } else if (iequals(name_text, names_.stated_rate)) {
-      const auto rate = ParseNumber<double>(value);
-      if (rate && std::isfinite(*rate) && *rate >= 0) {
-        reply_.stated_rate =
-            std::min(reply_.stated_rate.value_or(*rate), *rate);
-      }
+    } else {
+      ParseStatement(name_text, value);
+    }
+  }
+  constexpr int kUnavailable = 503;
+  if (name == field::retry_after && reply_.status == kUnavailable) {
+    if (const auto seconds = ParseFinite(value, kMaxWaitSeconds)) {
+      const auto wait = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(*seconds));
+      reply_.statement.wait =
+          std::max(reply_.statement.wait.value_or(wait), wait);
     }
   }
   if (collect_headers_) {
@@ -169,6 +185,17 @@
   }
 }
 
+void UpstreamReplyReader::ParseStatement(string_view name, string_view value) {
+  UpstreamStatement& statement = reply_.statement;
+  if (iequals(name, names_.stated_rate)) {
+    if (const auto rate = ParseFinite(value, kMaxRate)) {
+      statement.rate = std::min(statement.rate.value_or(*rate), *rate);
+    }
+  } else if (iequals(name, names_.leaving)) {
+    statement.is_leaving = statement.is_leaving || value == "1";
+  }
+}
+
 void UpstreamReplyReader::on_header_impl(error_code& /*error*/) {
   reply_.keep_alive = keep_alive() && !need_eof();
 }
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -16,6 +16,7 @@
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/edge/header_names.h"
+#include "lacewingknot/policy/upstream_gate.h"
 
 namespace lacewingknot::edge {
 
@@ -40,9 +41,9 @@
   std::string request_id;  // Empty if the answer echoes none.
   std::string signature;   // Empty if the answer is not signed.
   bool not_run = false;    // The upstream states that the request did not run.
-  // Requests per second that the upstream takes from all daemons together, if
-  // it states a rate; the lowest if it states several.
-  std::optional<double> stated_rate;
+  // What the upstream says of itself. A wait is taken only from a 503. Of
+  // several values of one header, the most restrictive counts.
+  UpstreamStatement statement;
   bool keep_alive = true;  // The connection may be used again.
   // Idle time after which the upstream closes the connection.
   std::optional<Duration> idle_timeout;
@@ -129,6 +130,8 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override;
 
+  void ParseStatement(string_view name, string_view value);
+
   const HeaderNames& names_;
   const bool collect_headers_;
   UpstreamReply reply_;
--- a/lacewingknot/edge/pass_session_test.cc
+++ b/lacewingknot/edge/pass_session_test.cc
@@ -362,5 +362,67 @@
   }
 }
 
+// Guards against sending to an upstream that says in its answers that it
+// leaves, while the store does not say so or cannot be reached.
+TEST_F(PassSessionTest, Upstream_SaysItLeaves_GetsNothingUntilItStartsAnew) {
+  auto& leaving = AddUpstream(
+      "s", [](const FakeRequest& request, ConnectionRef connection) {
+        FakeReply reply = SignedReply(request, "last one");
+        reply.headers.emplace_back("X-Leaving", "1");
+        connection->Reply(reply);
+      });
+  AddUpstream("s", RepliesWith("other"));
+  PublishPass(RetryPolicy::kAtMostOnce);
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(SendRequest("/p/1").status, 200);
+  EXPECT_EQ(leaving.requests.size(), 1U);
+  EXPECT_EQ(ReasonOf(leaving), "leaving");
+  // The store still lists it as before.
+  ApplyDirectory();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(SendRequest("/p/1").status, 200);
+  EXPECT_EQ(leaving.requests.size(), 1U);
+  ++leaving.record.incarnation;
+  ApplyDirectory();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(SendRequest("/p/1").status, 200);
+  EXPECT_EQ(leaving.requests.size(), 2U);
+}
+
+TEST_F(PassSessionTest, Upstreams_AllLeave_RequestIsRefusedAtOnceAsNotRun) {
+  auto& leaving = AddUpstream("s", [](const FakeRequest&,
+                                      ConnectionRef connection) {
+    connection->Reply(
+        {.status = 503, .headers = {{"X-Not-Run", "1"}, {"X-Leaving", "1"}}});
+  });
+  PublishPass(RetryPolicy::kIdempotent);
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(SendRequest("/p/1").status, kStatusUnavailable);
+  }
+  EXPECT_EQ(leaving.requests.size(), 1U);
+}
+
+// Guards against sending on to an upstream that has refused a request and named
+// a time in which it wants none.
+TEST_F(PassSessionTest, Upstream_NamesWait_GetsNothingUntilItsEnd) {
+  auto& waiting =
+      AddUpstream("s", [](const FakeRequest&, ConnectionRef connection) {
+        connection->Reply(
+            {.status = 503,
+             .headers = {{"X-Not-Run", "1"}, {"Retry-After", "1.5"}}});
+      });
+  AddUpstream("s", RepliesWith("other"));
+  PublishPass(RetryPolicy::kAtMostOnce);
+  while (waiting.requests.empty()) SendRequest("/p/1");
+  const TimePoint named_at = BootClock::now();
+  while (BootClock::now() < named_at + milliseconds(1'300)) {
+    EXPECT_EQ(SendRequest("/p/1").status, 200);
+    RunFor(milliseconds(10));
+  }
+  EXPECT_EQ(waiting.requests.size(), 1U);
+  EXPECT_EQ(ReasonOf(waiting), "waiting");
+  RunUntil([&] {
+    SendRequest("/p/1");
+    return waiting.requests.size() == 2;
+  });
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/scatter_session_test.cc
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -178,5 +178,27 @@
             std::string::npos);
 }
 
+// First attempts, hedges and retries all keep to what an upstream says.
+TEST_F(ScatterSessionTest, Replicas_LeaveOrWait_GetNoAttemptOfAnyKind) {
+  const auto says = [](std::string name, std::string value) {
+    return [name = std::move(name), value = std::move(value)](
+               const FakeRequest&,
+               const std::shared_ptr<testing::FakeConnection>& at) {
+      at->Reply(
+          {.status = 503, .headers = {{"X-Not-Run", "1"}, {name, value}}});
+    };
+  };
+  auto& leaving = AddUpstream("a", says("X-Leaving", "1"));
+  auto& waiting = AddUpstream("b", says("Retry-After", "30"));
+  AddUpstream("a", RepliesWith(MakeRecord('a')));
+  AddUpstream("b", RepliesWith(MakeRecord('b')));
+  ApplyRoutes({ScatterRoute({"a", "b"})});
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_EQ(SendRequest("/s/1", "id-" + std::to_string(i)).status, kStatusOk);
+  }
+  EXPECT_LE(leaving.requests.size(), 1U);
+  EXPECT_LE(waiting.requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -100,8 +100,9 @@
         criteria.tried.end()) {
       continue;
     }
-    if (!upstream->PassesStatedRate(now)) {
-      if (options_.on_withheld) options_.on_withheld();
+    const GateDecision gate = upstream->CheckGate(now);
+    if (gate != GateDecision::kOpen) {
+      if (options_.on_withheld) options_.on_withheld(gate);
       continue;
     }
     candidates.push_back(upstream);
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -1,8 +1,8 @@
 // A service, the upstreams that serve it, and its extra-load budget.
 //
-// Chooses the upstream of each attempt within the limits of cold upstreams, the
-// rates that upstreams state, and this daemon's subset. Choose functions return
-// null if no upstream fits.
+// Chooses the upstream of each attempt within the limits of cold upstreams,
+// what upstreams say of themselves, and this daemon's subset. Choose functions
+// return null if no upstream fits.
 //
 // Not thread-safe: runs on the traffic thread.
 //
@@ -44,8 +44,8 @@
     TimePoint started_at{};  // Start time of the process.
     std::string vm;  // This daemon's VM, which determines its replica order.
     ReplicaChoiceOptions choice;
-    // Called when a replica is passed over because of the rate that it states.
-    std::function<void()> on_withheld;
+    // Called when a replica is passed over because of what it says of itself.
+    std::function<void(GateDecision reason)> on_withheld;
   };
 
   explicit Service(Options options);
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -20,8 +20,8 @@
     : options_(std::move(options)),
       ramp_(options_.process_started_at),
       // Daemons must not draw the same lots.
-      rate_limiter_({.random_seed = static_cast<std::uint64_t>(
-                         BootClock::now().time_since_epoch().count())}) {}
+      gate_({.random_seed = static_cast<std::uint64_t>(
+                 BootClock::now().time_since_epoch().count())}) {}
 
 void Upstream::Submit(AttemptPtr attempt) {
   const TimePoint now = BootClock::now();
@@ -36,7 +36,7 @@
         return waiting->priority > attempt->priority;
       });
   queue_.insert(position, std::move(attempt));
-  rate_limiter_.OnSent(now);
+  gate_.OnSent(now);
   Dispatch();
 }
 
@@ -227,6 +227,12 @@
                              const AttemptResult& result, TimePoint now) {
   const Duration latency = now - attempt.sent_at;
   constexpr int kFirstServerErrorStatus = 500;
+  // An upstream that names a wait or leaves has not failed.
+  const UpstreamStatement& statement = result.reply.statement;
+  if (result.end != AttemptEnd::kLost &&
+      (statement.wait || statement.is_leaving)) {
+    return;
+  }
   switch (result.end) {
     case AttemptEnd::kAnswered:
       slowness_.Add(latency, attempt.mean_latency, now);
@@ -257,9 +263,13 @@
   // Without a status there was no answer; another upstream's answer says
   // nothing about this one.
   if (reply.status == 0 || reply.status == kMisdirectedStatus) return;
-  if (rate_limiter_.OnStated(reply.stated_rate, now) &&
-      options_.on_stated_rate_change) {
-    options_.on_stated_rate_change(options_.record, rate_limiter_);
+  const UpstreamGate::Changes changes = gate_.OnAnswer(reply.statement, now);
+  // Attempts that wait for a connection must not be sent either.
+  if (changes.leaving) FailQueue("leaving");
+  if (changes.wait) FailQueue("waiting");
+  if ((changes.leaving || changes.wait || changes.rate) &&
+      options_.on_statement_change) {
+    options_.on_statement_change(options_.record, gate_, changes);
   }
 }
 
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -26,7 +26,7 @@
 #include "lacewingknot/policy/connection_ramp.h"
 #include "lacewingknot/policy/replica_choice.h"
 #include "lacewingknot/policy/slowness.h"
-#include "lacewingknot/policy/stated_rate_limiter.h"
+#include "lacewingknot/policy/upstream_gate.h"
 
 namespace lacewingknot::edge {
 
@@ -50,10 +50,10 @@
                        std::string_view cause)>
         on_health_change;
     std::function<void()> on_connection_opened;
-    // Called when the upstream states another rate, or none any more.
-    std::function<void(const UpstreamRecord& record,
-                       const StatedRateLimiter& limiter)>
-        on_stated_rate_change;
+    // Called when an answer changes what the upstream says of itself.
+    std::function<void(const UpstreamRecord& record, const UpstreamGate& gate,
+                       const UpstreamGate::Changes& changes)>
+        on_statement_change;
   };
 
   explicit Upstream(Options options);
@@ -78,14 +78,16 @@
   // Sets this daemon's share of the connections that the upstream accepts.
   void set_connection_share(std::int64_t share) { ramp_.set_limit(share); }
   // Sets this daemon's share of a rate that the upstream states.
-  void set_rate_share(double share) { rate_limiter_.set_share(share); }
-  // Whether a stated rate leaves room for one more attempt now.
-  bool PassesStatedRate(TimePoint now) { return rate_limiter_.Allows(now); }
-  const StatedRateLimiter& rate_limiter() const { return rate_limiter_; }
+  void set_rate_share(double share) { gate_.set_rate_share(share); }
+  // Whether what the upstream says leaves room for one more attempt now.
+  GateDecision CheckGate(TimePoint now) { return gate_.Check(now); }
+  const UpstreamGate& gate() const { return gate_; }
   // Sets whether new attempts may be sent here; false ends the queued ones as
   // kNotSent.
   void set_usable(bool usable);
-  bool is_usable() const { return usable_ && !misdirected_; }
+  bool is_usable() const {
+    return usable_ && !misdirected_ && !gate_.is_leaving();
+  }
 
   // Closes idle connections now and busy ones when their exchange ends.
   void Retire();
@@ -150,7 +152,7 @@
   bool dispatch_again_ = false;
   ConnectionRamp ramp_;
   SlownessEstimator slowness_;
-  StatedRateLimiter rate_limiter_;
+  UpstreamGate gate_;
   double failure_share_ = 0;  // Smoothed share of failed attempts.
   TimePoint failure_share_updated_at_{};
   int consecutive_failures_ = 0;
--- a/testing/edge_fixture.h
+++ b/testing/edge_fixture.h
@@ -115,6 +115,7 @@
                            .expected_upstream = "X-Expect",
                            .not_run = "X-Not-Run",
                            .stated_rate = "X-Rate",
+                           .leaving = "X-Leaving",
                            .part_signatures = "X-Parts",
                            .missing_parts = "X-Missing"};
   edge::EdgeMetrics metrics_;
