E1207 only for rates that moved by a fifth

An upstream may state a slightly different rate in every answer: each one was a log line. A change is notable if the limit began, ended or moved by a fifth; smaller ones apply all the same.

The new test fails without the threshold (a line for each of 50 answers).

--- a/lacewingknot/policy/stated_rate_limiter.cc
+++ b/lacewingknot/policy/stated_rate_limiter.cc
@@ -12,6 +12,10 @@
 constexpr double kMinStatedRate = 0.1;
 constexpr double kMaxStatedRate = 1e6;
 
+// Change, as a share of the rate, that is worth a log line: an upstream may
+// state a slightly different rate in every answer.
+constexpr double kNotableChange = 0.2;
+
 // Share of the stated rate that buckets use together. An upstream tolerates
 // half more than its rate; the difference covers full buckets and daemons that
 // disagree about the fleet's size.
@@ -65,7 +69,14 @@
     credit_ = 0;
     won_at_.reset();
   }
+  const bool began_or_ended = stated_.has_value() != per_second.has_value();
   stated_ = per_second;
+  const double rate = per_second.value_or(0);
+  const double change = std::abs(rate - last_notable_rate_);
+  if (!began_or_ended && change < kNotableChange * last_notable_rate_) {
+    return false;
+  }
+  last_notable_rate_ = rate;
   return true;
 }
 
--- a/lacewingknot/policy/stated_rate_limiter.h
+++ b/lacewingknot/policy/stated_rate_limiter.h
@@ -46,8 +46,8 @@
   explicit StatedRateLimiter(Options options) : random_(options.random_seed) {}
 
   // Records what an answer states, in requests per second of all daemons; empty
-  // if it states no rate, which ends the limit. Returns whether this differs
-  // from the last answer.
+  // if it states no rate, which ends the limit. Returns whether the limit
+  // began, ended, or moved by a fifth since this last returned true.
   bool OnStated(std::optional<double> per_second, TimePoint now);
   // Sets this daemon's share of the rate, 0 to 1.
   void set_share(double share) { share_ = share; }
@@ -69,6 +69,7 @@
   std::minstd_rand random_;
   double share_ = 1;
   std::optional<double> stated_;
+  double last_notable_rate_ = 0;
   // Requests that may be sent; negative after requests that were sent anyway.
   double credit_ = 0;
   TimePoint accrued_at_{};
--- a/lacewingknot/policy/stated_rate_limiter_test.cc
+++ b/lacewingknot/policy/stated_rate_limiter_test.cc
@@ -149,6 +149,20 @@
   }
 }
 
+TEST(StatedRateLimiterTest, Rate_ChangesSlightly_AppliesButIsNotNotable) {
+  StatedRateLimiter limiter({.random_seed = 1});
+  const TimePoint now(std::chrono::hours(1));
+  EXPECT_TRUE(limiter.OnStated(100.0, now));
+  int notable = 0;
+  for (int rate = 100; rate > 50; --rate) {
+    notable += limiter.OnStated(rate, now) ? 1 : 0;
+    EXPECT_EQ(limiter.stated(), rate);
+  }
+  EXPECT_GE(notable, 2);
+  EXPECT_LE(notable, 4);
+  EXPECT_TRUE(limiter.OnStated(std::nullopt, now));
+}
+
 TEST(StatedRateLimiterTest, Rate_AbsurdlySmall_IsStillProbed) {
   StatedRateLimiter limiter({.random_seed = 1});
   TimePoint now(std::chrono::hours(1));
