--- a/lacewingknot/edge/peer_gossip_test.cc
+++ b/lacewingknot/edge/peer_gossip_test.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/edge/peer_gossip.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace lacewingknot::edge {
 namespace {
@@ -14,11 +15,15 @@
     TimePoint confirmed_at{};
   };
 
-  // First of the ports in use here; no other test uses them.
-  static constexpr int kFirstPort = 27'380;
-
+  // Tests run at the same time in processes of their own, so the address
+  // depends on the process.
   static std::string Address(int number) {
-    return "127.0.0.1:" + std::to_string(kFirstPort + number);
+    constexpr int kFirstPort = 27'380;
+    constexpr int kHosts = 250;
+    const int process = getpid();
+    return "127.77." + std::to_string(process / kHosts % kHosts) + "." +
+           std::to_string(1 + process % kHosts) + ":" +
+           std::to_string(kFirstPort + number);
   }
 
   void StartDaemon(int number) {
