--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <msgpack.hpp>
 
+#include "lacewingknot/policy/watch_schedule.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -69,6 +73,43 @@
   EXPECT_LE(EncodeGossip(MaxSizeMessage()).size(), 1'400U);
 }
 
+// Every daemon asks a sentinel once a second, and each question is answered.
+TEST(GossipMessageTest, Sentinel_FleetOf500_AnswersWithinTrafficBudget) {
+  constexpr std::size_t kMaxBytesPerSecond = 8'000;
+  constexpr std::size_t kUdpAndIpHeaderBytes = 28;
+  std::vector<Member> fleet;
+  for (int i = 0; i < 500; ++i) {
+    fleet.push_back(
+        {.address = "10." + std::to_string(i / 250) + ".100." +
+                    std::to_string(i % 250) + ":7380",
+         .incarnation = 4'000'000'000,
+         .data_centre = "scot-central-" + std::to_string(i % 13 % 6)});
+  }
+  const auto sentinels = SelectSentinels(fleet);
+  std::map<std::string, std::size_t> askers;
+  for (const Member& member : fleet) {
+    const bool is_sentinel = std::find(sentinels.begin(), sentinels.end(),
+                                       member.address) != sentinels.end();
+    if (!is_sentinel) ++askers[RankSentinels(member, fleet, sentinels)[0]];
+  }
+  GossipMessage message{
+      .membership = {.kind = MemberMessageKind::kProbeAck,
+                     .probe_number = 100'000,
+                     .target = fleet[0].address,
+                     .sender = fleet[1],
+                     .digest = 0xfeed'beef'feed'beef,
+                     .knows_fleet_size = true},
+      .store_revision = 4'000'000'000,
+      .store_confirmation_age = std::chrono::milliseconds(1'600)};
+  const std::size_t exchange =
+      2 * (EncodeGossip(message).size() + kUdpAndIpHeaderBytes);
+  for (const auto& [sentinel, count] : askers) {
+    EXPECT_LE(count * exchange, kMaxBytesPerSecond)
+        << count << " daemons ask " << sentinel << ", " << exchange
+        << " bytes each";
+  }
+}
+
 TEST(GossipMessageTest, Message_TooManyMembers_IsRejected) {
   GossipMessage message = MaxSizeMessage();
   message.membership.updates.push_back(message.membership.updates.front());
--- a/lacewingknot/policy/watch_schedule.cc
+++ b/lacewingknot/policy/watch_schedule.cc
@@ -21,7 +21,7 @@
 constexpr Duration kMaxWait = std::chrono::milliseconds(25'000);
 
 constexpr std::size_t kMinSentinels = 2;
-constexpr std::size_t kDaemonsPerSentinel = 64;
+constexpr std::size_t kDaemonsPerSentinel = 24;
 constexpr std::uint64_t kSentinelKey = 0x5e'11'7e;
 
 Duration Share(Duration duration, double share) {
--- a/lacewingknot/policy/watch_schedule.h
+++ b/lacewingknot/policy/watch_schedule.h
@@ -93,7 +93,7 @@
 };
 
 // Returns the addresses of the sentinels of a fleet: at least two, in different
-// data centres if there are several, and one for each 64 daemons. Daemons with
+// data centres if there are several, and one for each 24 daemons. Daemons with
 // the same list agree.
 std::vector<std::string> SelectSentinels(std::span<const Member> alive);
 
--- a/lacewingknot/policy/watch_schedule_test.cc
+++ b/lacewingknot/policy/watch_schedule_test.cc
@@ -252,7 +252,7 @@
     const auto sentinels = SelectSentinels(fleet);
     EXPECT_EQ(sentinels.size(),
               std::max<std::size_t>(
-                  2, (static_cast<std::size_t>(daemons) + 63) / 64));
+                  2, (static_cast<std::size_t>(daemons) + 23) / 24));
     std::reverse(fleet.begin(), fleet.end());
     EXPECT_EQ(SelectSentinels(fleet), sentinels);
     std::set<std::string> data_centres;
