Requests wait for upstreams that open in time; others learn when to come back

What callers saw: while all replicas of a service took no requests for a moment, or fewer than came, every request was refused at once with a Retry-After of 0.25 s, whether the moment lasted 50 ms or 30 s. A query whose minimum coverage could not be reached was sent to its other shards in vain and answered 502.

Beyond its latency objective a request waits only if no other does: under sustained overload those that start are in time, the others are refused at once with the time at which they may expect their turn. A shard waits up to the query's objective; a query that cannot reach its coverage waits or is refused before anything is sent. Shards that are withheld count as overload for admission.

Values of statements that make no sense are counted and logged once for each incarnation (E1210).

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -66,6 +66,8 @@
     EventInfo{Event::kUpstreamRateStated, "upstream_rate_stated", Level::kInfo},
     EventInfo{Event::kUpstreamWaits, "upstream_waits", Level::kInfo},
     EventInfo{Event::kUpstreamLeaving, "upstream_leaving", Level::kInfo},
+    EventInfo{Event::kUpstreamStatementMalformed,
+              "upstream_statement_malformed", Level::kWarning},
     EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning},
     EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo},
     EventInfo{Event::kQueryRefused, "query_refused", Level::kInfo},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -66,6 +66,7 @@
   kUpstreamRateStated = 1207,
   kUpstreamWaits = 1208,
   kUpstreamLeaving = 1209,
+  kUpstreamStatementMalformed = 1210,
   kQueryPartial = 1301,
   kQueryRefused = 1302,
   kWriteUnknown = 1303,
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -79,6 +79,7 @@
   if (service) return service;
   service = std::make_shared<Service>(Service::Options{
       .name = name,
+      .timers = &timers_,
       .extra_load = {},
       .started_at = options_.started_at,
       .vm = options_.vm,
@@ -311,6 +312,10 @@
               service,
               {"wait_ms", ToMillis(gate.wait_until() - BootClock::now())}});
   }
+  if (changes.malformed) {
+    options_.metrics->OnStatementMalformed();
+    LogEvent(Event::kUpstreamStatementMalformed, {upstream, service});
+  }
   if (changes.leaving) {
     LogEvent(
         Event::kUpstreamLeaving,
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -38,6 +38,17 @@
               .Name("lacewingknot_edge_replicas_passed_over_total")
               .Help("Replicas not considered for an attempt, by reason.")
               .Register(*registry_)),
+      malformed_statements_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_malformed_statements_total")
+              .Help("Upstreams that stated a value that makes no sense.")
+              .Register(*registry_)
+              .Add({})),
+      waits_(prometheus::BuildCounter()
+                 .Name("lacewingknot_edge_waits_total")
+                 .Help("Requests and shards that found all replicas withheld, "
+                       "by outcome.")
+                 .Register(*registry_)),
       health_changes_(prometheus::BuildCounter()
                           .Name("lacewingknot_edge_upstream_beliefs_total")
                           .Help("Changes of belief about an upstream.")
@@ -143,6 +154,12 @@
   passed_over_.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void EdgeMetrics::OnStatementMalformed() { malformed_statements_.Increment(); }
+
+void EdgeMetrics::OnWait(std::string_view outcome) {
+  waits_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void EdgeMetrics::OnUpstreamHealthChange(std::string_view health) {
   health_changes_.Add({{"belief", std::string(health)}}).Increment();
 }
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -40,6 +40,11 @@
   void OnRelayed(AttemptEnd end);
   void OnExtraAttemptDenied(std::string_view reason);
   void OnReplicaPassedOver(std::string_view reason);
+  // An upstream stated a value that makes no sense.
+  void OnStatementMalformed();
+  // All replicas withheld themselves from a request or shard: it "waits", or
+  // waiting would take it "too_late".
+  void OnWait(std::string_view outcome);
   void OnUpstreamHealthChange(std::string_view health);
   void OnConnectionOpened();
   // An `outcome` of "ok" confirms what is known of the store.
@@ -75,6 +80,8 @@
   std::array<prometheus::Counter*, kAttemptEndCount> relayed_attempts_{};
   prometheus::Family<prometheus::Counter>& hedges_denied_;
   prometheus::Family<prometheus::Counter>& passed_over_;
+  prometheus::Counter& malformed_statements_;
+  prometheus::Family<prometheus::Counter>& waits_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Counter& connections_opened_;
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -178,6 +178,8 @@
           std::chrono::duration<double>(*seconds));
       reply_.statement.wait =
           std::max(reply_.statement.wait.value_or(wait), wait);
+    } else {
+      ++reply_.statement.malformed;
     }
   }
   if (collect_headers_) {
@@ -190,9 +192,12 @@
   if (iequals(name, names_.stated_rate)) {
     if (const auto rate = ParseFinite(value, kMaxRate)) {
       statement.rate = std::min(statement.rate.value_or(*rate), *rate);
+    } else {
+      ++statement.malformed;
     }
   } else if (iequals(name, names_.leaving)) {
     statement.is_leaving = statement.is_leaving || value == "1";
+    if (value != "1" && value != "0") ++statement.malformed;
   }
 }
 
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -1,7 +1,11 @@
 #include "lacewingknot/edge/pass_session.h"
 
+#include <algorithm>
+#include <span>
 #include <utility>
 
+#include "lacewingknot/edge/relay_messages.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -17,12 +21,58 @@
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   deadline_timer_ =
       core().timers().At(deadline(), [self] { self->OnDeadline(); });
-  if (!StartAttempt(AttemptKind::kFirst, started_at())) Refuse("no_replica");
+  // Requests that wait already have their turn first.
+  service_->waiting().StartThoseReady(started_at());
+  if (service_->waiting().empty() &&
+      StartAttempt(AttemptKind::kFirst, started_at())) {
+    return;
+  }
+  if (!Wait(AttemptKind::kFirst, started_at())) {
+    Refuse(service_->HasUsableUpstream() ? kCauseWithheld : "no_replica");
+  }
+}
+
+bool PassSession::Wait(AttemptKind kind, TimePoint now) {
+  if (!service_->WithheldUntil(now)) return false;
+  // A request waits beyond its latency objective only if no other waits, so
+  // that sustained overload does not make every answer late.
+  const TimePoint end =
+      service_->waiting().empty()
+          ? deadline()
+          : std::min(deadline(), started_at() + spec().target_latency);
+  // Upstreams that refused it may take it when they open again.
+  first_excluded_ = tried_.size();
+  const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
+  waiting_ = service_->waiting().Add(
+      {.priority = spec().priority,
+       .latest_start = end - service_->mean_latency(),
+       .start = [self,
+                 kind](TimePoint turn) { return self->OnTurn(kind, turn); },
+       .on_too_late =
+           [self] {
+             self->waiting_.reset();
+             self->Refuse(kCauseWithheld);
+           }},
+      now);
+  core().metrics().OnWait(waiting_ ? "waits" : "too_late");
+  return waiting_.has_value();
+}
+
+bool PassSession::OnTurn(AttemptKind kind, TimePoint now) {
+  if (StartAttempt(kind, now)) {
+    waiting_.reset();
+    return true;
+  }
+  if (service_->WithheldUntil(now)) return false;
+  waiting_.reset();
+  Refuse(last_cause_.empty() ? "no_replica" : last_cause_);
+  return true;
 }
 
 bool PassSession::StartAttempt(AttemptKind kind, TimePoint now) {
-  Service::ReplicaCriteria criteria{.tried = tried_,
-                                    .mean_latency = service_->mean_latency()};
+  Service::ReplicaCriteria criteria{
+      .tried = std::span(tried_).subspan(first_excluded_),
+      .mean_latency = service_->mean_latency()};
   UpstreamPtr upstream = service_->Choose(criteria, now);
   criteria.include_backing_off = true;
   if (!upstream) upstream = service_->Choose(criteria, now);
@@ -67,6 +117,7 @@
   const bool can_retry =
       CanRunAgain() && refusals_ <= kMaxRefusals && now < deadline();
   if (can_retry && StartAttempt(AttemptKind::kRetry, now)) return;
+  if (can_retry && runs_ == 0 && Wait(AttemptKind::kRetry, now)) return;
   if (runs_ == 0) {
     Refuse(last_cause_);
     return;
@@ -113,12 +164,19 @@
 }
 
 void PassSession::Refuse(std::string_view cause) {
-  Finish({.status = kStatusUnavailable, .retry_after = kRefusalRetryAfter},
-         "refused", cause);
+  const TimePoint now = BootClock::now();
+  const Duration retry_after =
+      service_->WithheldUntil(now)
+          ? service_->waiting().RetryAfter(spec().priority, now)
+          : kRefusalRetryAfter;
+  Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
+         cause);
 }
 
 void PassSession::AbandonAttempts() {
   core().timers().Cancel(deadline_timer_);
+  if (waiting_) service_->waiting().Remove(*waiting_);
+  waiting_.reset();
   if (in_flight_) tried_.back()->Abandon(in_flight_);
   in_flight_ = nullptr;
 }
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -9,6 +9,7 @@
 #ifndef LACEWINGKNOT_EDGE_PASS_SESSION_H_
 #define LACEWINGKNOT_EDGE_PASS_SESSION_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,12 @@
 
   // Returns false if there is no upstream, or no extra-load budget for a retry.
   bool StartAttempt(AttemptKind kind, TimePoint now);
+  // Waits for an upstream that takes requests again. Returns false if none is
+  // expected in time, or if other reasons than what they say of themselves keep
+  // the upstreams from the request.
+  bool Wait(AttemptKind kind, TimePoint now);
+  // Called when it is this request's turn; returns whether waiting has ended.
+  bool OnTurn(AttemptKind kind, TimePoint now);
   void OnResult(const AttemptPtr& attempt, AttemptKind kind,
                 AttemptResult result);
   void OnAnswer(AttemptResult result, TimePoint now);
@@ -44,6 +51,9 @@
 
   ServicePtr service_;
   std::vector<UpstreamPtr> tried_;
+  // Upstreams before this position in `tried_` may be tried again.
+  std::size_t first_excluded_ = 0;
+  std::optional<WaitingRequests::Id> waiting_;
   AttemptPtr in_flight_;  // At the last upstream of `tried_`.
   TimerQueue::Id deadline_timer_;
   std::int64_t runs_ = 0;  // Attempts that ran or may have run.
--- a/lacewingknot/edge/pass_session_test.cc
+++ b/lacewingknot/edge/pass_session_test.cc
@@ -424,5 +424,91 @@
   });
 }
 
+// Guards against refusing requests that could wait: the only replica wants none
+// for a time that is shorter than what the client has left.
+TEST_F(PassSessionTest, Upstream_NamesShortWait_RequestWaitsAndIsServed) {
+  bool refuses = true;
+  auto& upstream =
+      AddUpstream("s", [&](const FakeRequest& request, ConnectionRef at) {
+        if (std::exchange(refuses, false)) {
+          at->Reply({.status = 503,
+                     .headers = {{"X-Not-Run", "1"}, {"Retry-After", "0.4"}}});
+          return;
+        }
+        at->Reply(SignedReply(request, "body"));
+      });
+  PublishPass(RetryPolicy::kAtMostOnce);
+  const TimePoint start = BootClock::now();
+  // The first one meets the refusal and waits itself.
+  EXPECT_EQ(SendRequest("/p/1", "a").status, 200);
+  EXPECT_GE(BootClock::now() - start, milliseconds(390));
+  EXPECT_EQ(upstream.requests.size(), 2U);
+}
+
+// Guards against a refusal that says too little: a client that comes back
+// before the upstream takes requests is refused again.
+TEST_F(PassSessionTest, Upstream_NamesLongWait_RequestIsRefusedWithItsTime) {
+  auto& upstream = AddUpstream("s", [](const FakeRequest&, ConnectionRef at) {
+    at->Reply(
+        {.status = 503, .headers = {{"X-Not-Run", "1"}, {"Retry-After", "8"}}});
+  });
+  PublishPass(RetryPolicy::kAtMostOnce);
+  for (int i = 0; i < 3; ++i) {
+    const TimePoint start = BootClock::now();
+    const HttpReply reply = SendRequest("/p/1", "id-" + std::to_string(i));
+    EXPECT_EQ(reply.status, kStatusUnavailable);
+    EXPECT_LT(BootClock::now() - start, milliseconds(100));
+    EXPECT_GT(std::stod(std::string(reply.header("Retry-After"))), 7.5);
+    EXPECT_LE(std::stod(std::string(reply.header("Retry-After"))), 8);
+  }
+  EXPECT_EQ(upstream.requests.size(), 1U);
+}
+
+// A short burst above a stated rate is served a little later instead of
+// refused; under sustained overload the others are refused at once.
+TEST_F(PassSessionTest, Requests_AboveStatedRate_WaitWithinTheirObjective) {
+  constexpr double kRate = 400;  // 400 * 1.1 / 8 = 55 a second here.
+  AddUpstream("s", [&](const FakeRequest& request, ConnectionRef at) {
+    FakeReply reply = SignedReply(request, "x");
+    reply.headers.emplace_back("X-Rate", std::to_string(kRate));
+    at->Reply(reply);
+  });
+  service_limits_["s"].max_connections = 400;
+  PublishPass(RetryPolicy::kAtMostOnce);
+  EXPECT_EQ(SendRequest("/p/1", "first").status, 200);
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 60; ++i) {
+    clients.push_back(std::make_unique<RawClient>(io_, server_.port()));
+    clients.back()->Write(
+        "GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n\r\n");
+  }
+  RunFor(milliseconds(900));
+  int served = 0;
+  int refused = 0;
+  for (const auto& client : clients) {
+    if (client->received().starts_with("HTTP/1.1 200")) ++served;
+    if (client->received().starts_with("HTTP/1.1 503")) ++refused;
+  }
+  EXPECT_EQ(served + refused, 60);
+  // The objective of the route is 400 ms: some 20 requests at that rate.
+  EXPECT_GE(served, 15);
+  EXPECT_LE(served, 35);
+}
+
+TEST_F(PassSessionTest, Client_DisconnectsWhileWaiting_NothingIsSent) {
+  auto& upstream = AddUpstream("s", [](const FakeRequest&, ConnectionRef at) {
+    at->Reply({.status = 503,
+               .headers = {{"X-Not-Run", "1"}, {"Retry-After", "0.6"}}});
+  });
+  PublishPass(RetryPolicy::kAtMostOnce);
+  RawClient client(io_, server_.port());
+  client.Write("GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n\r\n");
+  RunUntil([&] { return !upstream.requests.empty(); });
+  RunFor(milliseconds(100));
+  client.Close();
+  RunFor(milliseconds(900));
+  EXPECT_EQ(upstream.requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -35,7 +35,7 @@
 using WireStopNotice = std::tuple<std::uint32_t>;
 
 // Causes that upstreams and relays report for attempts without an answer.
-constexpr std::array<std::string_view, 22> kKnownCauses{
+constexpr std::array<std::string_view, 25> kKnownCauses{
     "",
     kCauseRelayLost,
     "unusable",
@@ -52,6 +52,9 @@
     "stray_bytes",
     "idle_too_long",
     kCauseNoReplica,
+    kCauseWithheld,
+    "leaving",
+    "waiting",
     kCauseNoBudget,
     kCauseExpired,
     kCauseUnsigned,
--- a/lacewingknot/edge/relay_messages.h
+++ b/lacewingknot/edge/relay_messages.h
@@ -35,6 +35,9 @@
 
 // Reasons why a relay did not make a delegated attempt.
 inline constexpr std::string_view kCauseNoReplica = "no_replica";
+// What all replicas say of themselves keeps them from the attempt
+// (policy/upstream_gate.h).
+inline constexpr std::string_view kCauseWithheld = "withheld";
 inline constexpr std::string_view kCauseNoBudget = "no_budget";
 inline constexpr std::string_view kCauseExpired = "expired";
 inline constexpr std::string_view kCauseAnsweredAlready = "answered_already";
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -85,7 +85,7 @@
   UpstreamPtr upstream =
       service.ChooseForAttempt(delegated.kind, criteria, now);
   if (!upstream) {
-    cause = kCauseNoReplica;
+    cause = service.WithheldUntil(now) ? kCauseWithheld : kCauseNoReplica;
     return nullptr;
   }
   if (!uses_any_replica && !delegated.is_mandatory &&
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -88,12 +88,33 @@
     Refuse();
     return;
   }
+  const std::optional<TimePoint> withheld_until = WithheldUntil(now);
+  if (withheld_until &&
+      *withheld_until + route().latency_stats->mean_latency() >
+          soft_deadline_) {
+    RefuseWithheld(*withheld_until, now);
+    return;
+  }
   query_number_ = core().NextQueryNumber();
   if (core().is_enabled(Mechanism::kAdmission) &&
       !route().admission->Admit(now)) {
     RefuseByAdmission();
     return;
   }
+  if (!withheld_until) {
+    StartShards();
+    return;
+  }
+  core().metrics().OnWait("waits");
+  const auto self =
+      std::static_pointer_cast<ScatterSession>(shared_from_this());
+  start_timer_ =
+      core().timers().At(*withheld_until, [self] { self->StartShards(); });
+}
+
+void ScatterSession::StartShards() {
+  if (finished()) return;
+  const TimePoint now = BootClock::now();
   is_decision_deferred_ = true;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     Shard& shard = shards_[i];
@@ -106,8 +127,10 @@
         now);
     if (choice.relay) {
       DelegateToRelay(i, AttemptKind::kFirst, std::move(choice), now);
-    } else if (!StartDirectAttempt(i, AttemptKind::kFirst, now)) {
-      MarkFailed(shard, "no_replica_placeable");
+    } else if (!StartFirstAttempt(i, now)) {
+      MarkFailed(shard, route().services[i]->WithheldUntil(now)
+                            ? kCauseWithheld
+                            : std::string_view("no_replica_placeable"));
     }
   }
   is_decision_deferred_ = false;
@@ -126,6 +149,82 @@
   Decide(now);
 }
 
+std::optional<TimePoint> ScatterSession::WithheldUntil(TimePoint now) const {
+  std::vector<TimePoint> openings;
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (shards_[i].state != ShardState::kPending) continue;
+    if (const auto until = route().services[i]->WithheldUntil(now)) {
+      openings.push_back(*until);
+    }
+  }
+  std::size_t reachable = shards_.size() - failed_shards_ - openings.size();
+  const auto is_sufficient = [&] {
+    return HasSufficientCoverage(reachable, shards_.size(),
+                                 spec().min_coverage);
+  };
+  if (openings.empty() || is_sufficient()) return std::nullopt;
+  std::sort(openings.begin(), openings.end());
+  auto opening = openings.begin();
+  while (++reachable, !is_sufficient() && opening + 1 != openings.end()) {
+    ++opening;
+  }
+  return *opening;
+}
+
+void ScatterSession::RefuseWithheld(TimePoint until, TimePoint now) {
+  core().metrics().OnWait("too_late");
+  Finish({.status = kStatusUnavailable,
+          .retry_after = std::max<Duration>(until - now, kRefusalRetryAfter)},
+         "refused", kCauseWithheld);
+}
+
+bool ScatterSession::StartFirstAttempt(std::size_t index, TimePoint now) {
+  // Requests that wait already have their turn first.
+  WaitingRequests& waiting = route().services[index]->waiting();
+  if (!waiting.empty()) waiting.StartThoseReady(now);
+  if (waiting.empty() && StartDirectAttempt(index, AttemptKind::kFirst, now)) {
+    return true;
+  }
+  return WaitForReplica(index, now);
+}
+
+bool ScatterSession::WaitForReplica(std::size_t index, TimePoint now) {
+  Service& service = *route().services[index];
+  if (!service.WithheldUntil(now)) return false;
+  Shard& shard = shards_[index];
+  const auto self =
+      std::static_pointer_cast<ScatterSession>(shared_from_this());
+  shard.cause = kCauseWithheld;
+  shard.waiting = service.waiting().Add(
+      {.priority = spec().priority,
+       .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
+       .start = [self,
+                 index](TimePoint turn) { return self->OnTurn(index, turn); },
+       .on_too_late =
+           [self, index] {
+             self->shards_[index].waiting.reset();
+             self->MarkFailed(self->shards_[index], kCauseWithheld);
+             self->Decide(BootClock::now());
+           }},
+      now);
+  core().metrics().OnWait(shard.waiting ? "waits" : "too_late");
+  return shard.waiting.has_value();
+}
+
+bool ScatterSession::OnTurn(std::size_t index, TimePoint now) {
+  Shard& shard = shards_[index];
+  if (StartDirectAttempt(index, AttemptKind::kFirst, now)) {
+    shard.waiting.reset();
+    SendRelayRequests(now);
+    return true;
+  }
+  if (route().services[index]->WithheldUntil(now)) return false;
+  shard.waiting.reset();
+  MarkFailed(shard, "no_replica_placeable");
+  Decide(now);
+  return true;
+}
+
 bool ScatterSession::is_urgent() const {
   return core().is_enabled(Mechanism::kUrgentHedgesFirst) &&
          spec().target_latency <= kMaxUrgentObjective;
@@ -527,7 +626,8 @@
 bool ScatterSession::IsOverloaded() const {
   constexpr std::array kOverloadCauses{
       std::string_view(kCauseNoBudget), std::string_view(kCauseBetterElsewhere),
-      std::string_view("abandoned"), std::string_view("refused")};
+      std::string_view(kCauseWithheld), std::string_view("abandoned"),
+      std::string_view("refused")};
   std::size_t missing = 0;
   std::size_t overloaded = 0;
   for (const Shard& shard : shards_) {
@@ -567,12 +667,16 @@
 }
 
 void ScatterSession::AbandonAttempts() {
+  core().timers().Cancel(start_timer_);
   core().timers().Cancel(hedge_timer_);
   core().timers().Cancel(answer_timer_);
   core().timers().Cancel(deadline_timer_);
   AbandonAtRelays();
   const Duration elapsed = BootClock::now() - started_at();
-  for (Shard& shard : shards_) {
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    Shard& shard = shards_[i];
+    if (shard.waiting) route().services[i]->waiting().Remove(*shard.waiting);
+    shard.waiting.reset();
     if (shard.state == ShardState::kPending && !shard.in_flight.empty()) {
       route().latency_stats->RecordShardLatency(elapsed);
     }
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -57,6 +57,8 @@
     std::vector<AttemptInFlight> in_flight;
     std::int64_t runs = 0;  // Attempts that ran or may have run.
     std::int64_t refusals = 0;
+    // Set while the first attempt waits for a replica that takes requests.
+    std::optional<WaitingRequests::Id> waiting;
     std::string signature;
     std::string records;       // Of a part delivered outside a batch.
     bool is_separate = false;  // The accepted part came outside a batch.
@@ -81,6 +83,21 @@
   void AbandonAttempts() override;
   std::string LogDetails() const override;
 
+  // Starts the first attempt of every shard that has a usable replica.
+  void StartShards();
+  // If what replicas say of themselves leaves too few shards for the minimum
+  // coverage at `now`, returns when it can be reached; empty otherwise.
+  std::optional<TimePoint> WithheldUntil(TimePoint now) const;
+  // Refuses the query before anything was sent, because too few shards have
+  // replicas that take requests before `until`.
+  void RefuseWithheld(TimePoint until, TimePoint now);
+  // Makes the shard's first attempt, or lets it wait for a replica that takes
+  // requests. Returns false if neither is possible.
+  bool StartFirstAttempt(std::size_t index, TimePoint now);
+  bool WaitForReplica(std::size_t index, TimePoint now);
+  // Called when it is the shard's turn; returns whether waiting has ended.
+  bool OnTurn(std::size_t index, TimePoint now);
+
   bool is_urgent() const;
   // Starts an attempt at a replica, through another relay than the last one if
   // possible. Returns false if no replica can be queried.
@@ -145,6 +162,7 @@
   std::vector<Shard> shards_;
   TimePoint soft_deadline_{};     // The latency objective, less our own delay.
   TimePoint attempt_deadline_{};  // After it, attempts are of no use.
+  TimerQueue::Id start_timer_;
   TimerQueue::Id hedge_timer_;
   TimerQueue::Id answer_timer_;
   TimerQueue::Id deadline_timer_;
--- a/lacewingknot/edge/scatter_session_test.cc
+++ b/lacewingknot/edge/scatter_session_test.cc
@@ -202,5 +202,59 @@
   EXPECT_EQ(waiting.requests.size(), 1U);
 }
 
+// Guards against queries that are sent to the other shards in vain, and then
+// fail as if they had run.
+TEST_F(ScatterSessionTest, Coverage_WithheldTooLong_QueryIsRefusedAtOnce) {
+  const auto waits = [](const FakeRequest&, ConnectionRef at) {
+    at->Reply(
+        {.status = 503, .headers = {{"X-Not-Run", "1"}, {"Retry-After", "5"}}});
+  };
+  AddUpstream("a", waits);
+  AddUpstream("b", waits);
+  auto& good = AddUpstream("c", RepliesWith(MakeRecord('c')));
+  ApplyRoutes({ScatterRoute({"a", "b", "c"})});
+  SendRequest("/s/1", "learns");
+  const std::size_t before = good.requests.size();
+  for (int i = 0; i < 3; ++i) {
+    const HttpReply reply = SendRequest("/s/1", "id-" + std::to_string(i));
+    EXPECT_EQ(reply.status, kStatusUnavailable);
+    EXPECT_GT(std::stod(std::string(reply.header("Retry-After"))), 4);
+  }
+  EXPECT_EQ(good.requests.size(), before);
+}
+
+TEST_F(ScatterSessionTest, Coverage_WithheldBriefly_QueryStartsWhenItOpens) {
+  bool refuses = true;
+  AddUpstream("a", [&](const FakeRequest& request, ConnectionRef at) {
+    if (std::exchange(refuses, false)) {
+      at->Reply({.status = 503,
+                 .headers = {{"X-Not-Run", "1"}, {"Retry-After", "0.15"}}});
+      return;
+    }
+    at->Reply(SignedReply(request, MakeRecord('k')));
+  });
+  ApplyRoutes({ScatterRoute({"a"})});
+  SendRequest("/s/1", "learns");
+  EXPECT_EQ(SendRequest("/s/1", "waits").status, 200);
+}
+
+// A shard at its stated rate gets its turn while the query waits for others
+// anyway.
+TEST_F(ScatterSessionTest, Shard_AtItsStatedRate_WaitsForItsTurnInTime) {
+  // 200 * 1.1 / 8 = 27 a second here, one in 36 ms.
+  AddUpstream("a", [](const FakeRequest& request, ConnectionRef at) {
+    FakeReply reply = SignedReply(request, MakeRecord('k'));
+    reply.headers.emplace_back("X-Rate", "200");
+    at->Reply(reply);
+  });
+  AddUpstream("b", RepliesWith(MakeRecord('z')));
+  ApplyRoutes({ScatterRoute({"a", "b"})});
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(
+        SendRequest("/s/1", "id-" + std::to_string(i)).header("X-Missing"),
+        "0");
+  }
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -28,7 +28,12 @@
     : options_(std::move(options)),
       vm_hash_(XXH3_64bits(options_.vm.data(), options_.vm.size())),
       relay_group_(RelayRanking::GroupOf(options_.name)),
-      extra_load_budget_(options_.extra_load, options_.started_at) {}
+      extra_load_budget_(options_.extra_load, options_.started_at),
+      waiting_(
+          {.timers = options_.timers,
+           .withheld_until =
+               [this](TimePoint now) { return WithheldUntil(now); },
+           .pass_rate = [this](TimePoint time) { return PassRate(time); }}) {}
 
 void Service::Add(UpstreamPtr upstream) {
   const auto rank = [&](const UpstreamPtr& candidate) {
@@ -145,6 +150,28 @@
   return Choose(criteria, now);
 }
 
+std::optional<TimePoint> Service::WithheldUntil(TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const UpstreamPtr& upstream : upstreams_) {
+    if (!upstream->is_usable()) continue;
+    const TimePoint opens_at = upstream->gate().OpensAt(now);
+    if (opens_at <= now) return std::nullopt;
+    earliest = std::min(earliest.value_or(opens_at), opens_at);
+  }
+  return earliest;
+}
+
+double Service::PassRate(TimePoint time) const {
+  double rate = 0;
+  for (const UpstreamPtr& upstream : upstreams_) {
+    if (!upstream->is_usable() || upstream->gate().wait_until() > time) {
+      continue;
+    }
+    rate += upstream->gate().PassRate(time);
+  }
+  return rate;
+}
+
 bool Service::Preconnect(TimePoint now) {
   if (limits_.cold_requests_per_second > 0) return false;
   const UpstreamPtr preferred = PreferredUpstream();
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -25,6 +25,7 @@
 
 #include "lacewingknot/edge/routing_table.h"
 #include "lacewingknot/edge/upstream.h"
+#include "lacewingknot/edge/waiting_requests.h"
 #include "lacewingknot/policy/cold_rate_limiter.h"
 #include "lacewingknot/policy/extra_load_window.h"
 #include "lacewingknot/policy/replica_choice.h"
@@ -40,6 +41,7 @@
  public:
   struct Options {
     std::string name;
+    TimerQueue* timers = nullptr;
     ExtraLoadWindow::Limits extra_load;
     TimePoint started_at{};  // Start time of the process.
     std::string vm;  // This daemon's VM, which determines its replica order.
@@ -110,6 +112,13 @@
   UpstreamPtr ChooseForAttempt(AttemptKind kind, ReplicaCriteria criteria,
                                TimePoint now);
 
+  // If what the usable upstreams say of themselves keeps all of them from
+  // attempts at `now`, returns when one of them takes an attempt again. Empty
+  // if one takes attempts or none is usable.
+  std::optional<TimePoint> WithheldUntil(TimePoint now) const;
+  // Requests that wait while WithheldUntil() is not empty.
+  WaitingRequests& waiting() { return waiting_; }
+
   // Opens a connection to the preferred upstream if it has none, so that the
   // next request need not wait for one. Does so again only if the service had a
   // request recently. Returns whether it did.
@@ -141,6 +150,8 @@
   std::vector<UpstreamPtr> Candidates(const ReplicaCriteria& criteria,
                                       std::size_t subset_size, TimePoint now);
   bool PassesColdRateLimit(const UpstreamPtr& upstream, TimePoint now) const;
+  // Attempts per second that usable upstreams which take one at `time` take.
+  double PassRate(TimePoint time) const;
 
   Options options_;
   std::uint64_t vm_hash_;
@@ -156,6 +167,7 @@
   std::size_t rotation_ = 0;
   TimePoint last_first_attempt_{};
   std::size_t subset_size_ = SIZE_MAX;
+  WaitingRequests waiting_;
 };
 
 using ServicePtr = std::shared_ptr<Service>;
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -267,8 +267,7 @@
   // Attempts that wait for a connection must not be sent either.
   if (changes.leaving) FailQueue("leaving");
   if (changes.wait) FailQueue("waiting");
-  if ((changes.leaving || changes.wait || changes.rate) &&
-      options_.on_statement_change) {
+  if (changes.any() && options_.on_statement_change) {
     options_.on_statement_change(options_.record, gate_, changes);
   }
 }
--- /dev/null
+++ b/lacewingknot/edge/waiting_requests.cc
@@ -0,0 +1,88 @@
+#include "lacewingknot/edge/waiting_requests.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lacewingknot::edge {
+namespace {
+
+// An upstream may be added, or its rate may rise, before the time for which the
+// next attempt is expected.
+constexpr Duration kMaxCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
+// Lower bound of the rate in estimates.
+constexpr double kMinPassRate = 0.05;
+
+}  // namespace
+
+TimePoint WaitingRequests::ExpectedStart(std::int64_t priority,
+                                         TimePoint now) const {
+  const TimePoint opens_at = options_.withheld_until(now).value_or(now);
+  return queue_.ExpectedStart(
+      priority, opens_at, std::max(options_.pass_rate(opens_at), kMinPassRate));
+}
+
+Duration WaitingRequests::RetryAfter(std::int64_t priority,
+                                     TimePoint now) const {
+  return std::max(ExpectedStart(priority, now) - now, kMinRetryAfter);
+}
+
+std::optional<WaitingRequests::Id> WaitingRequests::Add(Request request,
+                                                        TimePoint now) {
+  if (ExpectedStart(request.priority, now) > request.latest_start) {
+    return std::nullopt;
+  }
+  const Id id = queue_.Add(request.priority);
+  requests_.emplace(id, std::move(request));
+  Schedule(now);
+  return id;
+}
+
+void WaitingRequests::Remove(Id id) {
+  queue_.Remove(id);
+  requests_.erase(id);
+  if (requests_.empty()) options_.timers->Cancel(timer_);
+}
+
+void WaitingRequests::EndThoseTooLate(TimePoint now) {
+  std::vector<std::function<void()>> ended;
+  for (auto& [id, request] : requests_) {
+    if (request.latest_start >= now) continue;
+    ended.push_back(std::move(request.on_too_late));
+    queue_.Remove(id);
+  }
+  std::erase_if(requests_, [&](const auto& entry) {
+    return entry.second.latest_start < now;
+  });
+  for (const auto& on_too_late : ended) on_too_late();
+}
+
+void WaitingRequests::StartThoseReady(TimePoint now) {
+  // A request that starts may end at once, and its end may come back here.
+  if (std::exchange(is_starting_, true)) return;
+  EndThoseTooLate(now);
+  while (const auto next = queue_.Next()) {
+    // Kept alive, because the request may remove itself.
+    const auto start = requests_.at(*next).start;
+    if (!start(now)) break;
+    queue_.OnStarted(*next);
+    requests_.erase(*next);
+  }
+  is_starting_ = false;
+  Schedule(now);
+}
+
+void WaitingRequests::Schedule(TimePoint now) {
+  options_.timers->Cancel(timer_);
+  if (requests_.empty()) return;
+  TimePoint next = std::min(options_.withheld_until(now).value_or(now),
+                            now + kMaxCheckInterval);
+  // Not at once: the upstream that has just taken an attempt may be open still
+  // to others only.
+  next = std::max(next, now + std::chrono::milliseconds(1));
+  timer_ =
+      options_.timers->At(next, [this] { StartThoseReady(BootClock::now()); });
+}
+
+}  // namespace lacewingknot::edge
--- a/lacewingknot/policy/stated_rate_limiter.cc
+++ b/lacewingknot/policy/stated_rate_limiter.cc
@@ -98,6 +98,16 @@
   accrued_at_ = now;
 }
 
+TimePoint StatedRateLimiter::OpensAt(TimePoint now) const {
+  if (!stated_ || won_at_) return now;
+  const double rate = OwnRate();
+  const double missing =
+      (UsesBucket() ? 1 : 0) - credit_ - rate * Seconds(now - accrued_at_);
+  if (missing <= 0) return now;
+  return now + std::chrono::duration_cast<Duration>(
+                   std::chrono::duration<double>(missing / rate));
+}
+
 bool StatedRateLimiter::Allows(TimePoint now) {
   if (!stated_) return true;
   Accrue(now);
--- a/lacewingknot/policy/stated_rate_limiter.h
+++ b/lacewingknot/policy/stated_rate_limiter.h
@@ -59,6 +59,9 @@
 
   // Whether one more request may be sent now. May draw a lot.
   bool Allows(TimePoint now);
+  // When Allows() may return true if nothing is sent before; `now` if it may do
+  // so already.
+  TimePoint OpensAt(TimePoint now) const;
   // Counts a request that is sent.
   void OnSent(TimePoint now);
 
--- a/lacewingknot/policy/upstream_gate.cc
+++ b/lacewingknot/policy/upstream_gate.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/policy/upstream_gate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingknot {
 namespace {
@@ -11,6 +12,10 @@
 // Time after a wait in which attempts keep a distance from each other.
 constexpr Duration kReturnTime = std::chrono::milliseconds(1'000);
 constexpr Duration kReturnInterval = std::chrono::milliseconds(100);
+constexpr double kReturnRate =
+    1 / std::chrono::duration<double>(kReturnInterval).count();
+// Stands for no bound.
+constexpr double kMaxPassRate = 1e6;
 
 }  // namespace
 
@@ -41,6 +46,9 @@
         std::max(wait_until_, now + std::min(*statement.wait, kMaxWait));
   }
   changes.rate = rate_limiter_.OnStated(statement.rate, now);
+  if (statement.malformed > 0) {
+    changes.malformed = !std::exchange(was_malformed_, true);
+  }
   return changes;
 }
 
@@ -49,13 +57,33 @@
   rate_limiter_.OnSent(now);
 }
 
+bool UpstreamGate::IsReturning(TimePoint time) const {
+  return time < wait_until_ + kReturnTime;
+}
+
 GateDecision UpstreamGate::Check(TimePoint now) {
   if (is_leaving_) return GateDecision::kLeaving;
-  const bool is_returning =
-      now < wait_until_ + kReturnTime && now - last_sent_at_ < kReturnInterval;
-  if (now < wait_until_ || is_returning) return GateDecision::kWaiting;
+  const bool is_spaced =
+      IsReturning(now) && now - last_sent_at_ < kReturnInterval;
+  if (now < wait_until_ || is_spaced) return GateDecision::kWaiting;
   if (!rate_limiter_.Allows(now)) return GateDecision::kRateLimited;
   return GateDecision::kOpen;
 }
 
+TimePoint UpstreamGate::OpensAt(TimePoint now) const {
+  if (is_leaving_) return TimePoint::max();
+  TimePoint opens_at = std::max(now, wait_until_);
+  if (IsReturning(opens_at)) {
+    opens_at = std::max(opens_at, last_sent_at_ + kReturnInterval);
+  }
+  return std::max(opens_at, rate_limiter_.OpensAt(now));
+}
+
+double UpstreamGate::PassRate(TimePoint time) const {
+  if (is_leaving_) return 0;
+  const double rate =
+      rate_limiter_.stated() ? rate_limiter_.OwnRate() : kMaxPassRate;
+  return IsReturning(time) ? std::min(rate, kReturnRate) : rate;
+}
+
 }  // namespace lacewingknot
--- a/lacewingknot/policy/upstream_gate.h
+++ b/lacewingknot/policy/upstream_gate.h
@@ -44,6 +44,8 @@
   std::optional<Duration> wait;
   // Requests per second that it takes from all daemons together.
   std::optional<double> rate;
+  // Values that made no sense and were ignored.
+  int malformed = 0;
 };
 
 enum class GateDecision { kOpen, kLeaving, kWaiting, kRateLimited };
@@ -59,8 +61,11 @@
   // What an answer changed, for the log.
   struct Changes {
     bool leaving = false;
-    bool wait = false;  // A wait began while there was none.
-    bool rate = false;
+    bool wait = false;       // A wait began while there was none.
+    bool rate = false;       // As of StatedRateLimiter::OnStated().
+    bool malformed = false;  // For the first time.
+
+    bool any() const { return leaving || wait || rate || malformed; }
   };
 
   explicit UpstreamGate(Options options)
@@ -74,6 +79,12 @@
   // Whether an attempt may be sent now. May draw a lot (StatedRateLimiter).
   GateDecision Check(TimePoint now);
 
+  // When an attempt may be sent if none is sent before: `now` if one may be
+  // sent already, TimePoint::max() if never.
+  TimePoint OpensAt(TimePoint now) const;
+  // Attempts per second that pass once the gate has opened at `time`.
+  double PassRate(TimePoint time) const;
+
   bool is_leaving() const { return is_leaving_; }
   // End of the wait; in the past if there is none.
   TimePoint wait_until() const { return wait_until_; }
@@ -82,7 +93,11 @@
   void set_rate_share(double share) { rate_limiter_.set_share(share); }
 
  private:
+  // Whether attempts keep a distance from each other at `time`.
+  bool IsReturning(TimePoint time) const;
+
   bool is_leaving_ = false;
+  bool was_malformed_ = false;
   TimePoint wait_until_{};
   TimePoint last_sent_at_{};
   StatedRateLimiter rate_limiter_;
--- a/lacewingknot/policy/upstream_gate_test.cc
+++ b/lacewingknot/policy/upstream_gate_test.cc
@@ -68,6 +68,34 @@
   EXPECT_EQ(gate_.Check(now_), GateDecision::kOpen);
 }
 
+// A refused client is told when to come back.
+TEST_F(UpstreamGateTest, OpensAt_AnyStatement_IsWhenAttemptsPass) {
+  EXPECT_EQ(gate_.OpensAt(now_), now_);
+  gate_.OnAnswer({.wait = seconds(3)}, now_);
+  EXPECT_EQ(gate_.OpensAt(now_), now_ + seconds(3));
+  now_ += seconds(3);
+  EXPECT_EQ(gate_.Check(now_), GateDecision::kOpen);
+  gate_.OnSent(now_);
+  EXPECT_EQ(gate_.OpensAt(now_), now_ + milliseconds(100));
+  now_ += seconds(5);
+  gate_.set_rate_share(1);
+  gate_.OnAnswer({.rate = 10.0}, now_);
+  EXPECT_EQ(gate_.Check(now_), GateDecision::kRateLimited);
+  const TimePoint opens_at = gate_.OpensAt(now_);
+  EXPECT_GT(opens_at, now_ + milliseconds(50));
+  EXPECT_LT(opens_at, now_ + milliseconds(150));
+  EXPECT_EQ(gate_.Check(opens_at - milliseconds(2)),
+            GateDecision::kRateLimited);
+  EXPECT_EQ(gate_.Check(opens_at + milliseconds(2)), GateDecision::kOpen);
+  gate_.OnAnswer({.is_leaving = true}, now_);
+  EXPECT_EQ(gate_.OpensAt(now_), TimePoint::max());
+}
+
+TEST_F(UpstreamGateTest, Values_Malformed_AreReportedOnce) {
+  EXPECT_TRUE(gate_.OnAnswer({.malformed = 2}, now_).malformed);
+  EXPECT_FALSE(gate_.OnAnswer({.malformed = 1}, now_).any());
+}
+
 TEST_F(UpstreamGateTest, Rate_DuringWait_BothHold) {
   gate_.set_rate_share(1);
   EXPECT_TRUE(gate_.OnAnswer({.wait = seconds(1), .rate = 10.0}, now_).rate);
