--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -24,16 +24,11 @@
 constexpr int kSchedulingDelaysPerRequest = 2;
 // The objective divided by this is the most that is subtracted for these waits.
 constexpr int kMaxSchedulingDelayDivisor = 4;
-// Retry-After of a query refused because too few shards are available.
-constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(300);
 // Retry-After of queries refused by admission: overload lasts for seconds.
 constexpr Duration kMinOverloadRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMaxOverloadRetryAfter = std::chrono::milliseconds(1'500);
 // Requests with an objective up to this leave no time for a slow attempt.
 constexpr Duration kMaxUrgentObjective = std::chrono::milliseconds(80);
-// The objective divided by this is how long a relay may delay a part to batch
-// it with others.
-constexpr int kBatchDelayDivisor = 20;
 // Missing shards named in one log line.
 constexpr std::size_t kMaxLoggedShards = 6;
 
@@ -149,115 +144,11 @@
   Decide(now);
 }
 
-std::optional<TimePoint> ScatterSession::WithheldUntil(TimePoint now) const {
-  std::vector<TimePoint> openings;
-  for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (shards_[i].state != ShardState::kPending) continue;
-    if (const auto until = route().services[i]->WithheldUntil(now)) {
-      openings.push_back(*until);
-    }
-  }
-  std::size_t reachable = shards_.size() - failed_shards_ - openings.size();
-  const auto is_sufficient = [&] {
-    return HasSufficientCoverage(reachable, shards_.size(),
-                                 spec().min_coverage);
-  };
-  if (openings.empty() || is_sufficient()) return std::nullopt;
-  std::sort(openings.begin(), openings.end());
-  auto opening = openings.begin();
-  while (++reachable, !is_sufficient() && opening + 1 != openings.end()) {
-    ++opening;
-  }
-  return *opening;
-}
-
-void ScatterSession::RefuseWithheld(TimePoint until, TimePoint now) {
-  core().metrics().OnWait("too_late");
-  Finish({.status = kStatusUnavailable,
-          .retry_after = std::max<Duration>(until - now, kRefusalRetryAfter)},
-         "refused", kCauseWithheld);
-}
-
-bool ScatterSession::StartFirstAttempt(std::size_t index, TimePoint now) {
-  route().services[index]->CountDemand();
-  if (!route().services[index]->HasWaitingAhead(now) &&
-      StartDirectAttempt(index, AttemptKind::kFirst, now)) {
-    return true;
-  }
-  return WaitForReplica(index, now);
-}
-
-bool ScatterSession::WaitForReplica(std::size_t index, TimePoint now) {
-  Service& service = *route().services[index];
-  if (!service.WithheldUntil(now)) return false;
-  Shard& shard = shards_[index];
-  const auto self =
-      std::static_pointer_cast<ScatterSession>(shared_from_this());
-  shard.cause = kCauseWithheld;
-  shard.waiting = service.waiting().Add(
-      {.priority = spec().priority,
-       .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
-       .start = [self,
-                 index](TimePoint turn) { return self->OnTurn(index, turn); },
-       .on_too_late =
-           [self, index] {
-             self->shards_[index].waiting.reset();
-             self->MarkFailed(self->shards_[index], kCauseWithheld);
-             self->Decide(BootClock::now());
-           }},
-      now);
-  core().metrics().OnWait(shard.waiting ? "waits" : "too_late");
-  return shard.waiting.has_value();
-}
-
-bool ScatterSession::OnTurn(std::size_t index, TimePoint now) {
-  Shard& shard = shards_[index];
-  if (StartDirectAttempt(index, AttemptKind::kFirst, now)) {
-    shard.waiting.reset();
-    SendRelayRequests(now);
-    return true;
-  }
-  if (route().services[index]->WithheldUntil(now)) return false;
-  shard.waiting.reset();
-  MarkFailed(shard, "no_replica_placeable");
-  Decide(now);
-  return true;
-}
-
 bool ScatterSession::is_urgent() const {
   return core().is_enabled(Mechanism::kUrgentHedgesFirst) &&
          spec().target_latency <= kMaxUrgentObjective;
 }
 
-RelayTable::Choice ScatterSession::ChooseAnotherRelay(std::size_t index,
-                                                      TimePoint now) const {
-  const Shard& shard = shards_[index];
-  if (shard.declined_attempts >= kMaxDeclinedAttempts) return {};
-  const Service& service = *route().services[index];
-  const RelayTable& relays = core().relay_table();
-  if (relays.QueriesDirectly(service.usable_data_centres())) return {};
-  const bool is_last_usable =
-      shard.last_relay && shard.last_relay->is_usable(now);
-  if (relays.mode() == RelayMode::kSpread && is_last_usable) {
-    // It can use all replicas, and knows which ones were tried.
-    return {.relay = shard.last_relay,
-            .data_centre = shard.queried_data_centres.back()};
-  }
-  RelayTable::Choice choice =
-      relays.ChooseRelay({.replica_data_centres = service.usable_data_centres(),
-                          .group = service.relay_group(),
-                          .query = query_number_,
-                          .excluded_data_centres = shard.queried_data_centres},
-                         now);
-  if (choice.relay || !choice.data_centre.empty()) return choice;
-  // No other data centre has a replica: use another replica in the last one.
-  if (is_last_usable) {
-    return {.relay = shard.last_relay,
-            .data_centre = shard.queried_data_centres.back()};
-  }
-  return {};
-}
-
 bool ScatterSession::StartAttempt(std::size_t index, AttemptKind kind,
                                   TimePoint now) {
   RelayTable::Choice choice = ChooseAnotherRelay(index, now);
@@ -279,73 +170,6 @@
   return attempt;
 }
 
-void ScatterSession::DelegateToRelay(std::size_t index, AttemptKind kind,
-                                     RelayTable::Choice choice, TimePoint now) {
-  Shard& shard = shards_[index];
-  const Service& service = *route().services[index];
-  shard.last_relay = std::move(choice.relay);
-  shard.queried_data_centres.push_back(std::move(choice.data_centre));
-  auto request = std::find_if(relay_requests_.begin(), relay_requests_.end(),
-                              [&](const RelayRequest& other) {
-                                return other.relay == shard.last_relay;
-                              });
-  if (request == relay_requests_.end()) {
-    relay_requests_.push_back({.relay = shard.last_relay});
-    request = relay_requests_.end() - 1;
-  }
-  const AttemptPtr attempt = MakeShardAttempt(index, kind);
-  attempt->submitted_at = now;
-  const std::uint64_t number = shard.last_relay->AddAttempt(attempt);
-  if (!shard.batch_relay) shard.batch_relay = shard.last_relay;
-  const bool in_batch = shard.batch_relay == shard.last_relay;
-  request->message.attempts.push_back(
-      {.number = number,
-       .service = service.name(),
-       .kind = kind,
-       .is_mandatory = shard.queried_data_centres.size() >=
-                       service.usable_data_centres().size(),
-       .returns_own_records = !in_batch});
-  shard.in_flight.push_back({.attempt = attempt,
-                             .relay = shard.last_relay,
-                             .number_at_relay = number,
-                             .in_batch = in_batch});
-  shard.was_relayed = true;
-}
-
-void ScatterSession::SendRelayRequests(TimePoint now) {
-  auto requests = std::exchange(relay_requests_, {});
-  for (RelayRequest& request : requests) {
-    RelayAttemptRequest& message = request.message;
-    message.query = query_number_;
-    message.time_left_ms = ToMillis(attempt_deadline_ - now);
-    message.priority = spec().priority;
-    message.is_urgent = is_urgent();
-    message.mean_latency_us = ToMicros(route().latency_stats->mean_latency());
-    message.top_records = static_cast<std::int64_t>(spec().top_records);
-    message.max_batch_delay_us =
-        core().is_enabled(Mechanism::kBatchingDelay)
-            ? ToMicros(spec().target_latency) / kBatchDelayDivisor
-            : 0;
-    // A relay needs the client's request only once.
-    if (std::find(queried_relays_.begin(), queried_relays_.end(),
-                  request.relay) == queried_relays_.end()) {
-      message.head = outbound().head;
-      message.body = outbound().body;
-      message.request_id = outbound().request_id;
-      queried_relays_.push_back(request.relay);
-      request.relay->SetBatchCallback(
-          query_number_,
-          [weak = weak_from_this()](std::string records,
-                                    const std::function<void()>& end) {
-            const auto self =
-                std::static_pointer_cast<ScatterSession>(weak.lock());
-            if (self) self->OnBatch(std::move(records), end);
-          });
-    }
-    request.relay->SendRequest(std::move(message), now);
-  }
-}
-
 UpstreamPtr ScatterSession::ChooseDirectUpstream(Service& service,
                                                  const Shard& shard,
                                                  AttemptKind kind,
@@ -456,35 +280,6 @@
   }
 }
 
-void ScatterSession::UpdateBatchRelay(Shard& shard,
-                                      const AttemptInFlight& ended) {
-  if (!ended.relay || shard.batch_relay != ended.relay) return;
-  const bool has_others = std::any_of(
-      shard.in_flight.begin(), shard.in_flight.end(),
-      [&](const AttemptInFlight& other) { return other.relay == ended.relay; });
-  if (!has_others) shard.batch_relay = nullptr;
-}
-
-bool ScatterSession::RestartDeclinedAttempt(std::size_t index, AttemptKind kind,
-                                            const AttemptInFlight& declined,
-                                            std::string_view cause,
-                                            TimePoint now) {
-  Shard& shard = shards_[index];
-  if (cause == kCauseNoBudget) ++denied_extra_attempts_;
-  ++shard.declined_attempts;
-  shard.was_relayed =
-      shard.runs + shard.refusals > 0 || !shard.in_flight.empty();
-  // A hedge without budget is not restarted: another attempt is in flight, and
-  // StartHedges() runs again.
-  if (!shard.in_flight.empty() && cause == kCauseNoBudget) return false;
-  RelayTable::Choice choice = ChooseAnotherRelay(index, now);
-  if (choice.relay && choice.relay != declined.relay) {
-    DelegateToRelay(index, kind, std::move(choice), now);
-    return true;
-  }
-  return StartDirectAttempt(index, kind, now);
-}
-
 bool ScatterSession::IsPart(const AttemptPtr& attempt,
                             const AttemptResult& result) {
   return result.end == AttemptEnd::kAnswered &&
@@ -509,25 +304,6 @@
   return true;
 }
 
-void ScatterSession::ReplaceByBatchedPart(Shard& shard,
-                                          const AttemptResult& result) {
-  shard.is_separate = false;
-  shard.signature = result.reply.signature;
-  shard.records.clear();
-}
-
-void ScatterSession::OnBatch(std::string records,
-                             const std::function<void()>& end_attempts) {
-  if (finished()) return;
-  if (!records.empty()) batches_.push_back(std::move(records));
-  is_decision_deferred_ = true;
-  end_attempts();
-  is_decision_deferred_ = false;
-  const TimePoint now = BootClock::now();
-  SendRelayRequests(now);
-  Decide(now);
-}
-
 bool ScatterSession::CanRetry(const Shard& shard) const {
   return shard.runs + static_cast<std::int64_t>(shard.in_flight.size()) <
              spec().max_attempts &&
@@ -687,24 +463,6 @@
   }
 }
 
-void ScatterSession::AbandonAtRelays() {
-  for (const RelayLinkPtr& relay : queried_relays_) {
-    const bool is_working =
-        std::any_of(shards_.begin(), shards_.end(), [&](const Shard& shard) {
-          // A relay by itself abandons a shard's other attempts once it has a
-          // part.
-          if (shard.state == ShardState::kAnswered && !shard.is_separate) {
-            return false;
-          }
-          return std::any_of(shard.in_flight.begin(), shard.in_flight.end(),
-                             [&](const AttemptInFlight& attempt) {
-                               return attempt.relay == relay;
-                             });
-        });
-    relay->AbandonQuery(query_number_, is_working);
-  }
-}
-
 void ScatterSession::AbandonDirectAttempts(Shard& shard) {
   std::erase_if(shard.in_flight, [](const AttemptInFlight& attempt) {
     if (attempt.upstream) attempt.upstream->Abandon(attempt.attempt);
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -73,6 +73,8 @@
     RelayAttemptRequest message;
   };
 
+  // Retry-After of a query refused because too few shards are available.
+  static constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(300);
   // A shard that refuses more attempts than this counts as overloaded.
   static constexpr std::int64_t kMaxRefusals = 3;
   // Attempts per shard that relays may decline before this daemon sends its
--- /dev/null
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -0,0 +1,86 @@
+// The part of ScatterSession that waits for replicas that take no requests for
+// a time.
+
+#include <algorithm>
+#include <utility>
+
+#include "lacewingknot/edge/scatter_session.h"
+
+namespace lacewingknot::edge {
+
+std::optional<TimePoint> ScatterSession::WithheldUntil(TimePoint now) const {
+  std::vector<TimePoint> openings;
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (shards_[i].state != ShardState::kPending) continue;
+    if (const auto until = route().services[i]->WithheldUntil(now)) {
+      openings.push_back(*until);
+    }
+  }
+  std::size_t reachable = shards_.size() - failed_shards_ - openings.size();
+  const auto is_sufficient = [&] {
+    return HasSufficientCoverage(reachable, shards_.size(),
+                                 spec().min_coverage);
+  };
+  if (openings.empty() || is_sufficient()) return std::nullopt;
+  std::sort(openings.begin(), openings.end());
+  auto opening = openings.begin();
+  while (++reachable, !is_sufficient() && opening + 1 != openings.end()) {
+    ++opening;
+  }
+  return *opening;
+}
+
+void ScatterSession::RefuseWithheld(TimePoint until, TimePoint now) {
+  core().metrics().OnWait("too_late");
+  Finish({.status = kStatusUnavailable,
+          .retry_after = std::max<Duration>(until - now, kRefusalRetryAfter)},
+         "refused", kCauseWithheld);
+}
+
+bool ScatterSession::StartFirstAttempt(std::size_t index, TimePoint now) {
+  route().services[index]->CountDemand();
+  if (!route().services[index]->HasWaitingAhead(now) &&
+      StartDirectAttempt(index, AttemptKind::kFirst, now)) {
+    return true;
+  }
+  return WaitForReplica(index, now);
+}
+
+bool ScatterSession::WaitForReplica(std::size_t index, TimePoint now) {
+  Service& service = *route().services[index];
+  if (!service.WithheldUntil(now)) return false;
+  Shard& shard = shards_[index];
+  const auto self =
+      std::static_pointer_cast<ScatterSession>(shared_from_this());
+  shard.cause = kCauseWithheld;
+  shard.waiting = service.waiting().Add(
+      {.priority = spec().priority,
+       .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
+       .start = [self,
+                 index](TimePoint turn) { return self->OnTurn(index, turn); },
+       .on_too_late =
+           [self, index] {
+             self->shards_[index].waiting.reset();
+             self->MarkFailed(self->shards_[index], kCauseWithheld);
+             self->Decide(BootClock::now());
+           }},
+      now);
+  core().metrics().OnWait(shard.waiting ? "waits" : "too_late");
+  return shard.waiting.has_value();
+}
+
+bool ScatterSession::OnTurn(std::size_t index, TimePoint now) {
+  Shard& shard = shards_[index];
+  if (StartDirectAttempt(index, AttemptKind::kFirst, now)) {
+    shard.waiting.reset();
+    SendRelayRequests(now);
+    return true;
+  }
+  if (route().services[index]->WithheldUntil(now)) return false;
+  shard.waiting.reset();
+  MarkFailed(shard, "no_replica_placeable");
+  Decide(now);
+  return true;
+}
+
+}  // namespace lacewingknot::edge
