--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -394,6 +394,10 @@
 
 std::vector<StatementReport> EdgeCore::LatestStatements(std::size_t max,
                                                         TimePoint now) {
+  if (now - latest_statements_at_ < kLatestStatementsLifetime) {
+    return latest_statements_;
+  }
+  latest_statements_at_ = now;
   // Answers that change nothing are not recorded.
   for (const auto& [id, upstream] : upstreams_) {
     if (!upstream->gate().rate_limiter().stated()) continue;
@@ -401,7 +405,8 @@
         MakeStatementReport(upstream->record(), upstream->gate(), now),
         StatementSource::kOwnAnswer, now);
   }
-  return statements_.Latest(max, now);
+  latest_statements_ = statements_.Latest(max, now);
+  return latest_statements_;
 }
 
 void EdgeCore::RemoveUpstream(const std::string& id) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -126,7 +126,7 @@
   // Applies the keepers' answers to reported demand.
   void ApplyDemandSums(std::span<const DemandSum> sums);
   // Returns what is known of upstreams for a daemon that has just started; the
-  // latest `max` reports.
+  // latest `max` reports, computed anew a few times a second.
   std::vector<StatementReport> LatestStatements(std::size_t max, TimePoint now);
 
   // The daemon stops and answers every request before `end`.
@@ -168,6 +168,10 @@
   static constexpr Duration kPreconnectInterval =
       std::chrono::milliseconds(250);
   static constexpr std::size_t kMaxPreconnectsPerInterval = 16;
+  // How long the latest statements are used again: many daemons may start at
+  // the same time.
+  static constexpr Duration kLatestStatementsLifetime =
+      std::chrono::milliseconds(250);
   // Interval of checks for due reports of demand.
   static constexpr Duration kDemandCheckInterval =
       std::chrono::milliseconds(250);
@@ -203,6 +207,8 @@
   std::map<std::string, std::shared_ptr<QueryAdmission>, std::less<>>
       admissions_;  // By route; they outlive versions like `latency_stats_`.
   StatementTable statements_;
+  std::vector<StatementReport> latest_statements_;
+  TimePoint latest_statements_at_{};
   bool reports_demands_ = false;
   RelayTable relays_;
   std::size_t fleet_size_ = kMinFleetSize;
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -178,6 +178,7 @@
 
 void EdgeDaemon::SpreadStatements(std::vector<StatementReport> reports) {
   if (!shares_statements()) return;
+  has_statements_ = true;
   asio::post(control_io_, [this, reports = std::move(reports)] {
     gossip_->SpreadStatements(reports);
   });
@@ -191,7 +192,7 @@
 }
 
 void EdgeDaemon::SendStatements(const std::string& address) {
-  if (!shares_statements()) return;
+  if (!shares_statements() || !has_statements_) return;
   RunOnTrafficThread([this, address] {
     asio::post(control_io_,
                [this, address,
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -90,6 +90,8 @@
   ControlServer control_;
   std::optional<PeerGossip> gossip_;
   std::atomic<std::size_t> fleet_size_ = 1;
+  // An upstream has said something of itself since the process started.
+  std::atomic<bool> has_statements_ = false;
   // As last passed to the core. Used by the control thread only.
   RelayCandidates candidates_;
   Section<std::shared_ptr<const RoutingTable>> routes_;
--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -102,8 +102,10 @@
 TEST(GossipMessageTest, Sentinel_FleetOf500_AnswersWithinTrafficBudget) {
   constexpr std::size_t kMaxBytesPerSecond = 8'000;
   constexpr std::size_t kUdpAndIpHeaderBytes = 28;
+  constexpr int kDaemons = 500;
   std::vector<Member> fleet;
-  for (int i = 0; i < 500; ++i) {
+  fleet.reserve(kDaemons);
+  for (int i = 0; i < kDaemons; ++i) {
     fleet.push_back(
         {.address = "10." + std::to_string(i / 250) + ".100." +
                     std::to_string(i % 250) + ":7380",
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -27,7 +27,8 @@
     return;
   }
   if (!Wait(AttemptKind::kFirst, started_at())) {
-    Refuse(service_->HasUsableUpstream() ? kCauseWithheld : "no_replica");
+    Refuse(service_->WithheldUntil(started_at()) ? kCauseWithheld
+                                                 : kCauseNoReplica);
   }
 }
 
@@ -64,7 +65,7 @@
   }
   if (service_->WithheldUntil(now)) return false;
   waiting_.reset();
-  Refuse(last_cause_.empty() ? "no_replica" : last_cause_);
+  Refuse(last_cause_.empty() ? kCauseNoReplica : last_cause_);
   return true;
 }
 
