--- a/lacewingknot/edge/relay_table.cc
+++ b/lacewingknot/edge/relay_table.cc
@@ -116,11 +116,10 @@
     return {.relay = FindRelay(options_.data_centre, criteria, now),
             .data_centre = options_.data_centre};
   }
-  // One relay of RelayMode::kSpread queries all shards of a query.
-  const bool divides_groups =
-      criteria.divides_groups && mode_ != RelayMode::kSpread;
+  // One relay of RelayMode::kSpread queries all shards of a query. Otherwise
+  // the groups of a query are divided among the data centres.
   const std::size_t first =
-      criteria.query + (divides_groups ? criteria.group : 0);
+      criteria.query + (mode_ == RelayMode::kSpread ? 0 : criteria.group);
   for (std::size_t step = 0; step < replica_data_centres.size(); ++step) {
     const std::string& data_centre =
         replica_data_centres[(first + step) % replica_data_centres.size()];
--- a/lacewingknot/edge/relay_table.h
+++ b/lacewingknot/edge/relay_table.h
@@ -65,9 +65,6 @@
     // Rotates among several data centres, and in RelayMode::kSpread among the
     // daemons of one.
     std::uint64_t query = 0;
-    // Divides the groups of a query among the data centres. Otherwise all go to
-    // the same one, so that few relays need the request.
-    bool divides_groups = true;
     std::span<const std::string>
         excluded_data_centres;  // Data centres to avoid.
   };
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -32,7 +32,6 @@
       relays.ChooseRelay({.replica_data_centres = service.usable_data_centres(),
                           .group = service.relay_group(),
                           .query = query_number_,
-                          .divides_groups = false,
                           .excluded_data_centres = shard.queried_data_centres},
                          now);
   if (choice.relay || !choice.data_centre.empty()) return choice;
