--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -23,11 +23,11 @@
   };
   if (openings.empty() || is_sufficient()) return std::nullopt;
   std::sort(openings.begin(), openings.end());
-  auto opening = openings.begin();
-  while (++reachable, !is_sufficient() && opening + 1 != openings.end()) {
-    ++opening;
+  for (const TimePoint opening : openings) {
+    ++reachable;
+    if (is_sufficient()) return opening;
   }
-  return *opening;
+  return openings.back();
 }
 
 void ScatterSession::RefuseWithheld(TimePoint until, TimePoint now) {
--- a/lacewingknot/edge/waiting_requests.cc
+++ b/lacewingknot/edge/waiting_requests.cc
@@ -10,6 +10,7 @@
 // An upstream may be added, or its rate may rise, before the time for which the
 // next attempt is expected.
 constexpr Duration kMaxCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kMinCheckInterval = std::chrono::milliseconds(1);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
 // Lower bound of the rate in estimates.
 constexpr double kMinPassRate = 0.05;
@@ -79,9 +80,9 @@
   if (requests_.empty()) return;
   TimePoint next = std::min(options_.withheld_until(now).value_or(now),
                             now + kMaxCheckInterval);
-  // Not at once: the upstream that has just taken an attempt may be open still
-  // to others only.
-  next = std::max(next, now + std::chrono::milliseconds(1));
+  // An upstream that takes attempts may still be unable to take the next one,
+  // for example because that request has tried it before.
+  next = std::max(next, now + kMinCheckInterval);
   timer_ =
       options_.timers->At(next, [this] { StartThoseReady(BootClock::now()); });
 }
--- a/lacewingknot/policy/stated_rate_limiter_test.cc
+++ b/lacewingknot/policy/stated_rate_limiter_test.cc
@@ -168,8 +168,9 @@
   TimePoint now(std::chrono::hours(1));
   limiter.OnStated(0.0, now);
   bool sent = false;
-  for (int i = 0; i < 60 && !sent; ++i)
+  for (int i = 0; i < 60 && !sent; ++i) {
     sent = limiter.Allows(now += seconds(2));
+  }
   EXPECT_TRUE(sent);
 }
 
--- a/lacewingknot/policy/upstream_gate.cc
+++ b/lacewingknot/policy/upstream_gate.cc
@@ -9,7 +9,8 @@
 // Longest wait that is respected: a longer one would take an upstream out of
 // use that the store still lists as serving.
 constexpr Duration kMaxWait = std::chrono::seconds(60);
-// Longest time for which other replicas are preferred by hearsay.
+// Longest time for which other replicas are preferred because the upstream has
+// asked another daemon to wait.
 constexpr Duration kMaxAvoidance = std::chrono::milliseconds(1'000);
 // Time after a wait in which attempts keep a distance from each other.
 constexpr Duration kReturnTime = std::chrono::milliseconds(1'000);
--- a/lacewingknot/policy/watch_schedule_test.cc
+++ b/lacewingknot/policy/watch_schedule_test.cc
@@ -21,6 +21,7 @@
 
 std::vector<Member> MakeFleet(int daemons) {
   std::vector<Member> fleet;
+  fleet.reserve(static_cast<std::size_t>(daemons));
   for (int i = 0; i < daemons; ++i) {
     fleet.push_back({.address = "10.0.0." + std::to_string(i),
                      .data_centre = "dc-" + std::to_string(i % 3),
