Old statements are encoded so that peers accept them

What callers would see: a relay's link lost at an answer of another upstream at the address (421) that carries a statement, on a machine that runs for more than an hour; every part of the query over that link has to be queried again.

Cause: the gate of an upstream that has never answered has an answer's age of the machine's uptime, and the decoder takes more than an hour for malformed, which costs the connection. Found by reading the change. The encoder caps the age at what the decoder accepts; so old a statement changes nothing.

GossipMessageTest.Statement_HoursOld_IsAccepted fails without the cap.

--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -88,6 +88,16 @@
   EXPECT_TRUE(decoded.value().statements.empty());
 }
 
+// Guards against a peer that is taken for malformed, because it reports an
+// upstream that has not answered since the machine started.
+TEST(GossipMessageTest, Statement_HoursOld_IsAccepted) {
+  GossipMessage message = MaxSizeMessage();
+  message.statements.front().age = std::chrono::hours(30);
+  const auto decoded = DecodeGossip(EncodeGossip(message));
+  ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+  EXPECT_GE(decoded.value().statements.front().age, std::chrono::hours(1));
+}
+
 TEST(GossipMessageTest, Message_MaxMembers_FitsInDatagram) {
   GossipMessage message = MaxSizeMessage();
   EXPECT_LE(EncodeGossip(message).size(), 4'096U);
--- a/lacewingknot/edge/internal/statement_codec.cc
+++ b/lacewingknot/edge/internal/statement_codec.cc
@@ -1,5 +1,6 @@
 #include "lacewingknot/edge/internal/statement_codec.h"
 
+#include <algorithm>
 #include <cmath>
 #include <msgpack.hpp>
 
@@ -24,7 +25,7 @@
                       report.rate
                           ? std::llround(*report.rate * kRateUnitsPerRequest)
                           : kNoRate,
-                      ToMillis(report.age));
+                      std::min(ToMillis(report.age), kMaxMs));
   }
   return wire;
 }
