--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -169,10 +169,7 @@
     const auto part = std::span(reports).subspan(
         first, std::min(kMax, reports.size() - first));
     for (const std::string& address : chosen) {
-      bytes += SendDatagram(
-          address, {.membership = membership_.MakeCarrier(address).message,
-                    .store_revision = store_revision_,
-                    .statements = {part.begin(), part.end()}});
+      bytes += SendStatements(address, part);
     }
   }
   next_spread_at_ =
@@ -180,14 +177,15 @@
                 static_cast<double>(bytes) / kMaxSpreadBytesPerSecond));
 }
 
-void PeerGossip::SendStatements(const std::string& address,
-                                std::span<const StatementReport> reports) {
-  if (reports.empty()) return;
+std::size_t PeerGossip::SendStatements(
+    const std::string& address, std::span<const StatementReport> reports) {
+  if (reports.empty()) return 0;
   const auto part =
       reports.first(std::min(reports.size(), GossipMessage::kMaxStatements));
-  SendDatagram(address, {.membership = membership_.MakeCarrier(address).message,
-                         .store_revision = store_revision_,
-                         .statements = {part.begin(), part.end()}});
+  return SendDatagram(address,
+                      {.membership = membership_.MakeCarrier(address).message,
+                       .store_revision = store_revision_,
+                       .statements = {part.begin(), part.end()}});
 }
 
 std::vector<DemandSum> PeerGossip::RecordDemands(
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -84,9 +84,10 @@
   // Tells a few daemons, chosen at random, what upstreams say. They pass on
   // what is news to them. Control thread only, like SendStatements().
   void SpreadStatements(std::span<const StatementReport> reports);
-  // Tells daemon `address`; the first kMaxStatements reports count.
-  void SendStatements(const std::string& address,
-                      std::span<const StatementReport> reports);
+  // Tells daemon `address`; the first kMaxStatements reports count. Returns the
+  // number of bytes sent.
+  std::size_t SendStatements(const std::string& address,
+                             std::span<const StatementReport> reports);
   // Reports this daemon's demand to the keepers of the upstreams
   // (policy/demand_shares.h). Control thread only.
   void SendDemands(std::span<const DemandReport> reports);
--- a/lacewingknot/edge/waiting_requests.h
+++ b/lacewingknot/edge/waiting_requests.h
@@ -16,7 +16,6 @@
 #ifndef LACEWINGKNOT_EDGE_WAITING_REQUESTS_H_
 #define LACEWINGKNOT_EDGE_WAITING_REQUESTS_H_
 
-#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,7 +61,6 @@
   Duration RetryAfter(std::int64_t priority, TimePoint now) const;
 
   bool empty() const { return queue_.empty(); }
-  std::size_t size() const { return queue_.size(); }
 
  private:
   void EndThoseTooLate(TimePoint now);
--- a/lacewingknot/policy/upstream_gate.cc
+++ b/lacewingknot/policy/upstream_gate.cc
@@ -39,10 +39,7 @@
 UpstreamGate::Changes UpstreamGate::OnAnswer(const UpstreamStatement& statement,
                                              TimePoint now) {
   Changes changes;
-  if (statement.is_leaving) {
-    changes.leaving = !is_leaving_;
-    is_leaving_ = true;
-  }
+  changes.leaving = statement.is_leaving && !std::exchange(is_leaving_, true);
   if (statement.wait && *statement.wait > Duration::zero()) {
     changes.wait = wait_until_ <= now;
     wait_until_ =
@@ -60,10 +57,7 @@
                                              TimePoint stated_at,
                                              TimePoint now) {
   Changes changes;
-  if (statement.is_leaving) {
-    changes.leaving = !is_leaving_;
-    is_leaving_ = true;
-  }
+  changes.leaving = statement.is_leaving && !std::exchange(is_leaving_, true);
   if (statement.wait && *statement.wait > Duration::zero()) {
     changes.wait = avoided_until_ <= now;
     avoided_until_ = std::max(avoided_until_,
