--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -119,14 +119,18 @@
   std::set<std::shared_ptr<Connection>> connections_;
 };
 
-// The platform's store: range reads and watches.
+// The platform's store: range reads and watches. Each machine has an address of
+// its own for it, so that the store can turn single machines away.
 class Store {
  public:
-  Store(boost::asio::io_context& io, const std::string& ip);
+  Store(boost::asio::io_context& io, const std::string& ip, int machines);
 
   void Put(const std::string& key, const Json& value);
   void Delete(const std::string& key);
-  std::string address() const { return server_.address(); }
+  // IP:PORT for `machine`.
+  std::string address(int machine) const;
+  // Answers all calls of `machine` with 503 from now on, or serves it again.
+  void TurnAway(int machine, bool is_turned_away);
 
  private:
   struct Item {
@@ -143,9 +147,10 @@
     std::shared_ptr<Connection> connection;
     std::uint64_t after = 0;
     std::uint64_t number = 0;
+    int machine = 0;
   };
 
-  void OnRequest(const std::shared_ptr<Connection>& connection,
+  void OnRequest(int machine, const std::shared_ptr<Connection>& connection,
                  const HttpMessage& request);
   void AnswerRange(const std::shared_ptr<Connection>& connection,
                    const std::map<std::string, std::string>& parameters);
@@ -153,7 +158,8 @@
   void AnswerWatches();
 
   boost::asio::io_context& io_;
-  Server server_;
+  std::vector<std::unique_ptr<Server>> servers_;  // By machine.
+  std::set<int> turned_away_;
   std::map<std::string, Item> items_;
   std::vector<Change> changes_;
   std::list<Watch> watches_;
@@ -259,6 +265,7 @@
 };
 
 // Runs `run` with the options of the command line: DAEMON DIRECTORY RECORD.
+// Further arguments are the program's own.
 // Reads from the environment whether the trouble is injected (TROUBLE=0: no).
 int RunCase(int argc, char** argv,
             const std::function<int(const World::Options& options,
