Daemons compare the store's contents with their peers' and log a difference

At a daemon that serves by old routes nothing told whether it follows an outdated history of the store, found a silent connection too late or was confirmed by peers that knew no more (the three hypotheses).

Sentinels now tell a digest of the store's contents and the revisions between which it holds; a daemon whose contents differ at the same revision and whose full read is older logs E1119 with both states, the age of its full read and of the last confirmations. Status shows store_revision, store_digest and store_read_age_ms. Nothing acts on it yet.

E1108 and E1110 shared three quarters of the log queue with lines of requests and could be dropped under load; the reserve is now for every event that does not concern a single request. LogQueueTest is red without that.

The exchange of a sentinel with each asker takes 250 bytes a second in a fleet of 500, and 8,000 with the 32 askers of the busiest (Sentinel_FleetOf500, at its budget of 8 kB/s). Therefore only sentinels, and daemons that disagree with one, tell their state; the test now includes the time since the last loss, which it left out.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -23,6 +23,8 @@
 
 using Level = EventInfo::Level;
 
+constexpr bool kPerRequest = true;
+
 constexpr std::array kEvents{
     EventInfo{Event::kDaemonStarted, "daemon_started", Level::kInfo},
     EventInfo{Event::kDaemonReady, "daemon_ready", Level::kInfo},
@@ -58,6 +60,8 @@
     EventInfo{Event::kStoreWatchStale, "store_watch_stale", Level::kInfo},
     EventInfo{Event::kSentinelsChanged, "sentinels_changed", Level::kInfo},
     EventInfo{Event::kStoreWentBack, "store_went_back", Level::kWarning},
+    EventInfo{Event::kStoreContentsDiffer, "store_contents_differ",
+              Level::kWarning},
     EventInfo{Event::kUpstreamPresumedCold, "upstream_presumed_cold",
               Level::kInfo},
     EventInfo{Event::kUpstreamWarm, "upstream_warm", Level::kInfo},
@@ -69,15 +73,20 @@
     EventInfo{Event::kUpstreamLeaving, "upstream_leaving", Level::kInfo},
     EventInfo{Event::kUpstreamStatementMalformed,
               "upstream_statement_malformed", Level::kWarning},
-    EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning},
-    EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo},
-    EventInfo{Event::kQueryRefused, "query_refused", Level::kInfo},
-    EventInfo{Event::kWriteUnknown, "write_unknown", Level::kWarning},
-    EventInfo{Event::kWriteNotRun, "write_not_run", Level::kInfo},
-    EventInfo{Event::kLateAnswerDropped, "late_answer_dropped", Level::kInfo},
-    EventInfo{Event::kRequestEnded, "request_ended", Level::kInfo},
-    EventInfo{Event::kRequestRejected, "request_rejected", Level::kInfo},
-    EventInfo{Event::kRelayAttemptFailed, "relay_attempt_failed", Level::kInfo},
+    EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning,
+              kPerRequest},
+    EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo, kPerRequest},
+    EventInfo{Event::kQueryRefused, "query_refused", Level::kInfo, kPerRequest},
+    EventInfo{Event::kWriteUnknown, "write_unknown", Level::kWarning,
+              kPerRequest},
+    EventInfo{Event::kWriteNotRun, "write_not_run", Level::kInfo, kPerRequest},
+    EventInfo{Event::kLateAnswerDropped, "late_answer_dropped", Level::kInfo,
+              kPerRequest},
+    EventInfo{Event::kRequestEnded, "request_ended", Level::kInfo, kPerRequest},
+    EventInfo{Event::kRequestRejected, "request_rejected", Level::kInfo,
+              kPerRequest},
+    EventInfo{Event::kRelayAttemptFailed, "relay_attempt_failed", Level::kInfo,
+              kPerRequest},
     EventInfo{Event::kFleetSizeChanged, "fleet_size_changed", Level::kInfo},
     EventInfo{Event::kRelayConnected, "relay_connected", Level::kInfo},
     EventInfo{Event::kRelayLost, "relay_lost", Level::kInfo},
@@ -135,6 +144,7 @@
 
 struct LogLine {
   log4cplus::LogLevel level;
+  bool is_per_request = false;
   std::string text;
   log4cplus::helpers::Time logged_at;
 };
@@ -172,9 +182,10 @@
       return;
     }
     const std::lock_guard lock(mutex_);
-    const bool is_important = line.level >= log4cplus::WARN_LOG_LEVEL;
+    const bool may_use_reserve =
+        line.level >= log4cplus::WARN_LOG_LEVEL || !line.is_per_request;
     const std::size_t capacity =
-        is_important ? kMaxQueuedLines : kMaxQueuedLines * 3 / 4;
+        may_use_reserve ? kMaxQueuedLines : kMaxQueuedLines * 3 / 4;
     if (lines_.size() >= capacity) {
       ++dropped_count_;
       return;
@@ -192,7 +203,8 @@
 
  private:
   // Since the queue is written once per interval, its capacity also limits the
-  // rate of lines. The last quarter is reserved for warnings and errors.
+  // rate of lines. The last quarter is reserved for warnings, errors and events
+  // that do not concern a single request.
   static constexpr std::size_t kMaxQueuedLines = 400;
   static constexpr std::chrono::milliseconds kWriteInterval{250};
 
@@ -287,6 +299,7 @@
     line += QuoteIfNeeded(field.value);
   }
   LogQueue::Instance().Add({.level = level,
+                            .is_per_request = info->is_per_request,
                             .text = std::move(line),
                             .logged_at = log4cplus::helpers::now()});
 }
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -8,7 +8,9 @@
 // Lines go to standard output. After StartLogWriter they pass through a bounded
 // queue to a dedicated writer thread, so that a slow reader of standard output
 // never blocks a request. Lines that exceed the capacity of the queue within
-// one write interval are dropped, counted and reported as kLogLinesDropped.
+// one write interval are dropped, counted and reported as kLogLinesDropped. A
+// part of the queue is reserved for warnings and for events that do not concern
+// a single request, so that load does not displace the lines of a rare change.
 //
 // LogEvent and FlushLog are thread-safe.
 //
@@ -58,6 +60,7 @@
   kStoreWatchStale = 1116,
   kSentinelsChanged = 1117,
   kStoreWentBack = 1118,
+  kStoreContentsDiffer = 1119,
   kUpstreamPresumedCold = 1201,
   kUpstreamWarm = 1202,
   kUpstreamFellBack = 1203,
@@ -90,6 +93,8 @@
   Event event;
   std::string_view name;
   enum class Level { kInfo, kWarning, kError } level;
+  // The event concerns one request; such events come at the rate of requests.
+  bool is_per_request = false;
 };
 
 // Returns every event, each once, in no particular order.
--- a/lacewingknot/base/event_log_test.cc
+++ b/lacewingknot/base/event_log_test.cc
@@ -31,6 +31,23 @@
   }
 }
 
+// Guards against losing the only line that tells which routes a daemon serves
+// by: lines of requests filled the queue.
+TEST(LogQueueTest, ManyRequestsLogged_RoutesChange_LineIsKept) {
+  ::testing::internal::CaptureStdout();
+  ConfigureLogging(LogLevel::kInfo, "vm");
+  StartLogWriter();
+  constexpr int kMoreThanTheQueueHolds = 2'000;
+  for (int i = 0; i < kMoreThanTheQueueHolds; ++i) {
+    LogEvent(Event::kRequestEnded, {{"id", i}});
+  }
+  LogEvent(Event::kRoutesInForce, {{"version", 7}});
+  FlushLog(std::chrono::seconds(5));
+  const std::string lines = ::testing::internal::GetCapturedStdout();
+  EXPECT_NE(lines.find("E1010 log_lines_dropped"), std::string::npos);
+  EXPECT_NE(lines.find("E1108 routes_in_force version=7"), std::string::npos);
+}
+
 TEST(ErrorCatalogueTest, EveryErrorType_ConvertedToNameAndBack_IsUnchanged) {
   for (int type = 0; type <= static_cast<int>(ErrorType::kOutcomeUnknown);
        ++type) {
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -262,9 +262,16 @@
         ToMillis(BootClock::now() - (*directory)->confirmed_at);
     status["evacuated"] = (*directory)->evacuated;
   }
-  if (const auto age = metrics_.StoreConfirmationAge(BootClock::now())) {
+  const TimePoint now = BootClock::now();
+  if (const auto age = metrics_.StoreConfirmationAge(now)) {
     status["store_confirmation_age_ms"] = ToMillis(*age);
   }
+  if (gossip_) {
+    const StoreReport report = gossip_->LatestStoreReport();
+    status["store_revision"] = report.state.until;
+    status["store_digest"] = report.state.digest;
+    status["store_read_age_ms"] = ToMillis(now - report.unbroken_since);
+  }
   return status.dump() + "\n";
 }
 
--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/edge/gossip_messages.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <exception>
 #include <msgpack.hpp>
@@ -33,9 +34,10 @@
 // Version, kind, number, about, digest, whether the sender knows the fleet,
 // revision, data centres, members, of which the sender is the first, 0 or 1
 // plus the milliseconds since the store confirmed the revision, statements of
-// upstreams, demands, sums of demands, and 0 or 1 plus the milliseconds since
-// the sender last lost the store. Daemons of earlier releases do not send the
-// last five, or the last one, and ignore them.
+// upstreams, demands, sums of demands, 0 or 1 plus the milliseconds since the
+// sender last lost the store, and the store's contents (EncodeState). Daemons
+// of earlier releases do not send the last six, two or one, and ignore them.
+
 // Upstream, incarnation, thousandths of an attempt per second, and milliseconds
 // until the next report.
 using WireDemand =
@@ -48,7 +50,7 @@
                std::uint64_t, bool, std::uint64_t, std::vector<std::string>,
                std::vector<WireMember>, std::uint64_t,
                std::vector<WireStatement>, std::vector<WireDemand>,
-               std::vector<WireDemandSum>, std::uint64_t>;
+               std::vector<WireDemandSum>, std::uint64_t, std::string>;
 
 class MemberPacker {
  public:
@@ -103,6 +105,54 @@
   return std::chrono::milliseconds(wire - 1);
 }
 
+constexpr int kBitsPerByte = 8;
+constexpr std::size_t kDigestBytes = sizeof(StoreState::digest);
+
+// Encodes `state` compactly, since it is part of most datagrams of a sentinel:
+// the digest, the number of bits of the distance from `since` to `until`, and
+// the distance from `revision` to `until`, all in little-endian order. `since`
+// becomes up to half as far from `until`, which is still true. An unknown state
+// is empty.
+std::string EncodeState(const StoreState& state, std::uint64_t revision) {
+  std::string bytes;
+  if (!state.is_known() || state.until < revision) return bytes;
+  const auto append = [&](std::uint64_t value, std::size_t at_least) {
+    for (std::size_t i = 0; i < at_least || value != 0; ++i) {
+      bytes.push_back(static_cast<char>(value & 0xff));
+      value >>= kBitsPerByte;
+    }
+  };
+  append(state.digest, kDigestBytes);
+  append(std::bit_width(state.until - state.since + 1) - 1, 1);
+  append(state.until - revision, 0);
+  return bytes;
+}
+
+StoreState DecodeState(std::string_view bytes, std::uint64_t revision) {
+  constexpr std::size_t kFixedBytes = kDigestBytes + 1;
+  constexpr std::uint8_t kMaxBits = 63;
+  if (bytes.empty()) return {};
+  if (bytes.size() < kFixedBytes ||
+      bytes.size() > kFixedBytes + sizeof(revision)) {
+    throw msgpack::type_error();
+  }
+  const auto read = [&](std::size_t first, std::size_t count) {
+    std::uint64_t value = 0;
+    for (std::size_t i = first + count; i > first; --i) {
+      value = value << kBitsPerByte | static_cast<std::uint8_t>(bytes[i - 1]);
+    }
+    return value;
+  };
+  const std::uint64_t bits = read(kDigestBytes, 1);
+  if (bits > kMaxBits) throw msgpack::type_error();
+  const std::uint64_t until =
+      revision + read(kFixedBytes, bytes.size() - kFixedBytes);
+  const std::uint64_t length = (std::uint64_t{1} << bits) - 1;
+  return {.since = until - std::min(length, until),
+          .until = until,
+          .digest = static_cast<std::uint32_t>(read(0, kDigestBytes))};
+}
+
 double FromDemandUnits(std::uint64_t units) {
   return static_cast<double>(std::min(units, kMaxDemandUnits)) /
          kDemandUnitsPerAttempt;
@@ -111,7 +161,7 @@
 GossipMessage ParseMessage(const WireMessage& wire) {
   const auto& [version, kind, number, about, digest, knows_fleet, revision,
                data_centres, members, confirmation_age, statements, demands,
-               sums, unbroken_for] = wire;
+               sums, unbroken_for, state] = wire;
   const bool exceeds_limits =
       members.empty() ||
       members.size() > Membership::kMaxUpdatesPerMessage + 1 ||
@@ -133,6 +183,7 @@
       .store_revision = revision,
       .store_confirmation_age = DecodeAge(confirmation_age),
       .store_unbroken_for = DecodeAge(unbroken_for),
+      .store_state = DecodeState(state, revision),
       .statements =
           DecodeStatements(statements, GossipMessage::kMaxStatements)};
   message.membership.sender = ParseMember(members.front(), data_centres).member;
@@ -187,7 +238,8 @@
                   packer.data_centres(), packer.members(),
                   EncodeAge(message.store_confirmation_age),
                   EncodeStatements(message.statements), demands, sums,
-                  EncodeAge(message.store_unbroken_for)));
+                  EncodeAge(message.store_unbroken_for),
+                  EncodeState(message.store_state, message.store_revision)));
   return {bytes.data(), bytes.size()};
 }
 
--- a/lacewingknot/edge/gossip_messages.h
+++ b/lacewingknot/edge/gossip_messages.h
@@ -25,6 +25,7 @@
 #include "lacewingknot/policy/demand_shares.h"
 #include "lacewingknot/policy/membership.h"
 #include "lacewingknot/policy/statement_table.h"
+#include "lacewingknot/policy/store_state.h"
 
 namespace lacewingknot::edge {
 
@@ -37,6 +38,9 @@
   // Time since the sender last lost the store, or since it first reached it, in
   // whole milliseconds; empty if that is longer ago than an hour or unknown.
   std::optional<Duration> store_unbroken_for;
+  // The contents of the store as the sender knows them; unknown if the sender
+  // has no need to tell. Received, `since` may be later than it was sent.
+  StoreState store_state;
   // What upstreams say, for daemons that may not know; at most kMaxStatements.
   std::vector<StatementReport> statements;
   // The sender's demand for upstreams whose keeper the receiver is; at most
--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -13,17 +13,19 @@
 namespace {
 
 GossipMessage MaxSizeMessage() {
-  GossipMessage message{.membership = {.kind = MemberMessageKind::kList,
-                                       .probe_number = 31,
-                                       .target = "10.0.0.2:7380",
-                                       .sender = {.address = "10.0.0.1:7380",
-                                                  .incarnation = 5,
-                                                  .data_centre = "regina",
-                                                  .processor_share = 0.12},
-                                       .digest = 77},
-                        .store_revision = 412,
-                        .store_confirmation_age = std::chrono::seconds(3),
-                        .store_unbroken_for = std::chrono::minutes(20)};
+  GossipMessage message{
+      .membership = {.kind = MemberMessageKind::kList,
+                     .probe_number = 31,
+                     .target = "10.0.0.2:7380",
+                     .sender = {.address = "10.0.0.1:7380",
+                                .incarnation = 5,
+                                .data_centre = "regina",
+                                .processor_share = 0.12},
+                     .digest = 77},
+      .store_revision = 412,
+      .store_confirmation_age = std::chrono::seconds(3),
+      .store_unbroken_for = std::chrono::minutes(20),
+      .store_state = {.since = 400, .until = 431, .digest = 0xfeed'beef}};
   for (std::size_t i = 0; i < Membership::kMaxUpdatesPerMessage; ++i) {
     message.membership.updates.push_back(
         {.member = {
@@ -57,6 +59,7 @@
   EXPECT_EQ(decoded.value().store_revision, 412U);
   EXPECT_EQ(decoded.value().store_confirmation_age, std::chrono::seconds(3));
   EXPECT_EQ(decoded.value().store_unbroken_for, std::chrono::minutes(20));
+  EXPECT_EQ(decoded.value().store_state, MaxSizeMessage().store_state);
   EXPECT_EQ(membership.kind, MemberMessageKind::kList);
   EXPECT_EQ(membership.probe_number, 31U);
   EXPECT_EQ(membership.target, "10.0.0.2:7380");
@@ -72,6 +75,21 @@
   EXPECT_EQ(decoded.value().demand_sums, MaxSizeMessage().demand_sums);
 }
 
+// The compact form may shorten the time for which the contents are known.
+TEST(GossipMessageTest, StoreState_AnyLength_StaysTrue) {
+  GossipMessage message = MaxSizeMessage();
+  for (const std::uint64_t length : {0, 1, 30, 32, 411}) {
+    message.store_state.since = message.store_state.until - length;
+    const auto decoded = DecodeGossip(EncodeGossip(message));
+    ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+    const StoreState& state = decoded.value().store_state;
+    EXPECT_EQ(state.until, message.store_state.until);
+    EXPECT_EQ(state.digest, message.store_state.digest);
+    EXPECT_GE(state.since, message.store_state.since);
+    EXPECT_GE(state.until - state.since, length / 2);
+  }
+}
+
 // Guards against a datagram that peers refuse whole because of one long id.
 TEST(GossipMessageTest, Statement_OfUpstreamWithLongId_IsLeftOut) {
   GossipMessage message = MaxSizeMessage();
@@ -99,6 +117,7 @@
   EXPECT_EQ(decoded.value().store_revision, 412U);
   EXPECT_EQ(decoded.value().store_confirmation_age, std::nullopt);
   EXPECT_TRUE(decoded.value().statements.empty());
+  EXPECT_FALSE(decoded.value().store_state.is_known());
 }
 
 // Guards against a peer that is taken for malformed, because it reports an
@@ -150,13 +169,18 @@
                      .digest = 0xfeed'beef'feed'beef,
                      .knows_fleet_size = true},
       .store_revision = 4'000'000'000,
-      .store_confirmation_age = std::chrono::milliseconds(1'600)};
-  const std::size_t exchange =
-      2 * (EncodeGossip(message).size() + kUdpAndIpHeaderBytes);
+      .store_confirmation_age = std::chrono::milliseconds(1'600),
+      .store_unbroken_for = std::chrono::minutes(50)};
+  const std::size_t question =
+      EncodeGossip(message).size() + kUdpAndIpHeaderBytes;
+  message.store_state = {
+      .since = 4'000'000'000, .until = 4'000'100'000, .digest = 0xfeed'beef};
+  const std::size_t answer =
+      EncodeGossip(message).size() + kUdpAndIpHeaderBytes;
   for (const auto& [sentinel, count] : askers) {
-    EXPECT_LE(count * exchange, kMaxBytesPerSecond)
-        << count << " daemons ask " << sentinel << ", " << exchange
-        << " bytes each";
+    EXPECT_LE(count * (question + answer), kMaxBytesPerSecond)
+        << count << " daemons ask " << sentinel << ", " << question << " and "
+        << answer << " bytes each";
   }
 }
 
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -117,10 +117,16 @@
                  {.membership = outgoing.message,
                   .store_revision = report.revision,
                   .store_confirmation_age = age_of(report.confirmed_at),
-                  .store_unbroken_for = age_of(report.unbroken_since)});
+                  .store_unbroken_for = age_of(report.unbroken_since),
+                  .store_state = StateToTell(report, now)});
   }
 }
 
+StoreState PeerGossip::StateToTell(const StoreReport& report,
+                                   TimePoint now) const {
+  return is_sentinel_ || now < tells_state_until_ ? report.state : StoreState();
+}
+
 std::size_t PeerGossip::SendDatagram(const std::string& address,
                                      const GossipMessage& message) {
   const auto endpoint = ParseEndpoint(address);
@@ -245,7 +251,8 @@
   }
   const TimePoint now = BootClock::now();
   Send(membership_.OnMessage(message.value().membership, now));
-  StoreReport report{.revision = message.value().store_revision};
+  StoreReport report{.revision = message.value().store_revision,
+                     .state = message.value().store_state};
   if (const auto& age = message.value().store_confirmation_age) {
     report.confirmed_at = now - *age;
     last_report_confirmed_at_ =
@@ -254,6 +261,10 @@
   if (const auto& unbroken_for = message.value().store_unbroken_for) {
     report.unbroken_since = now - *unbroken_for;
   }
+  if (CompareReports(LatestStoreReport(), report, now) ==
+      Agreement::kPeerIsSuspect) {
+    tells_state_until_ = now + kTellStateFor;
+  }
   if (options_.on_store_report) options_.on_store_report(report);
   const MemberMessage& membership = message.value().membership;
   if (!message.value().statements.empty() && options_.on_statements) {
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -2,6 +2,9 @@
 // (policy/membership.h). Each datagram also carries the revision of the
 // configuration store that its sender has seen, and when the store confirmed
 // it. In each round the daemon also asks a sentinel (policy/watch_schedule.h).
+// Sentinels also tell what the store holds (policy/store_state.h); the others
+// do so while a peer that reports other contents has read the store earlier
+// than they have.
 //
 // Nothing depends on a single datagram: losing one delays an update by one
 // round. A daemon that receives a later revision than its own reads the store
@@ -82,6 +85,8 @@
   // The store has answered this daemon; further datagrams report it.
   // Thread-safe.
   void SetStoreConfirmed(const StoreReport& report);
+  // The report that datagrams carry at present. Thread-safe.
+  StoreReport LatestStoreReport() const;
   // Tells a few daemons, chosen at random, what upstreams say. They pass on
   // what is news to them. Control thread only, like SendStatements().
   void SpreadStatements(std::span<const StatementReport> reports);
@@ -99,6 +104,8 @@
   static constexpr std::size_t kMaxDatagramBytes = 4'096;
   // Age of the latest report from which on a second sentinel is asked.
   static constexpr Duration kReportOverdue = std::chrono::milliseconds(2'000);
+  // How long a daemon tells its state after a peer was found to be outdated.
+  static constexpr Duration kTellStateFor = std::chrono::seconds(5);
 
   // Daemons that are told of a statement by each daemon to which it is news:
   // with so many, all but one in fifty learn it in the first wave.
@@ -118,13 +125,14 @@
   // Returns the number of bytes sent.
   std::size_t SendDatagram(const std::string& address,
                            const GossipMessage& message);
-  StoreReport LatestStoreReport() const;
   void Receive();
   void OnDatagram(std::size_t bytes);
   void Send(std::span<const OutgoingMemberMessage> messages);
   void ReportFleetSize();
   void ReportMembers();
   void PingSentinels(TimePoint now);
+  // What a datagram tells of the store's contents.
+  StoreState StateToTell(const StoreReport& report, TimePoint now) const;
 
   Options options_;
   boost::asio::io_context& io_;
@@ -143,6 +151,7 @@
   std::vector<std::string> sentinels_;
   std::atomic<bool> is_sentinel_ = false;
   TimePoint last_report_confirmed_at_{};  // Latest of all peers' reports.
+  TimePoint tells_state_until_{};
   struct PendingStatement {
     StatementReport report;
     TimePoint known_at{};
--- a/lacewingknot/policy/watch_schedule.h
+++ b/lacewingknot/policy/watch_schedule.h
@@ -39,17 +39,10 @@
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/policy/membership.h"
+#include "lacewingknot/policy/store_state.h"
 
 namespace lacewingknot {
 
-// The store held no change later than `revision` at `confirmed_at`. The
-// reporting daemon has not lost the store since `unbroken_since`.
-struct StoreReport {
-  std::uint64_t revision = 0;
-  TimePoint confirmed_at{};
-  TimePoint unbroken_since{};
-};
-
 class WatchSchedule {
  public:
   struct Options {
