A short watch counts its bound from the last answer, not from its call

A daemon without a fresh report of a peer watches for 2.2 s and gives up 0.8 s later; together with the coalescing delay of 1.2 s before the call that is 4.2 s after the store's last answer, for a connection that went silent during the delay, where 4 s are allowed.

The wait is now shortened by the time since the last answer, as a sentinel's is.

WatchScheduleFleetTest.Connections_SilentForGood_* (1 to 500 daemons; 0.3 to all connections silent, none or 0.3 of the datagrams lost) failed before at 195 and 500 daemons, and passes now. The test's retries now double from 150 ms as the reader's do; they were 900 ms at once.

--- a/lacewingknot/policy/watch_schedule.cc
+++ b/lacewingknot/policy/watch_schedule.cc
@@ -88,7 +88,10 @@
                       SentinelInterval());
   }
   const bool has_fresh_report = now - peer_confirmed_at_ < max_unconfirmed();
-  return has_fresh_report ? kMaxWait : ShortWait();
+  if (has_fresh_report) return kMaxWait;
+  // Counted from the last answer, so that the pause before this call does not
+  // add to the bound.
+  return std::clamp(confirmed_at_ + ShortWait() - now, kMinWait, ShortWait());
 }
 
 TimePoint WatchSchedule::GiveUpTime(TimePoint started, Duration wait) const {
--- a/lacewingknot/policy/watch_schedule_test.cc
+++ b/lacewingknot/policy/watch_schedule_test.cc
@@ -61,6 +61,18 @@
     is_silent_ = silent;
     for (Daemon& daemon : daemons_) daemon.is_swallowed |= silent;
   }
+  // Open connections to the store go silent for good; new ones work. Calls on
+  // the former get no answer.
+  void SeverConnections(double share) {
+    std::bernoulli_distribution is_chosen(share);
+    for (Daemon& daemon : daemons_) {
+      if (!is_chosen(random_)) continue;
+      daemon.is_severed = true;
+      if (!daemon.next_call) daemon.is_swallowed = true;
+    }
+  }
+  // The share of datagrams between daemons that are lost from now on.
+  void SetDatagramLoss(double share) { datagram_loss_ = share; }
   // The calls of the sentinels, or of the others, are never answered.
   void CutOff(bool sentinels) {
     for (Daemon& daemon : daemons_) {
@@ -100,6 +112,8 @@
     bool is_swallowed = false;
     bool is_lost = false;
     bool is_cut_off = false;
+    bool is_severed = false;  // The open connection.
+    Duration retry_delay = milliseconds(150);
   };
 
   void Ask(Daemon& daemon) {
@@ -107,6 +121,7 @@
     const bool is_overdue = now_ - daemon.peer_confirmed_at > seconds(2);
     for (std::size_t i = 0; i < daemon.asks.size() && i < (is_overdue ? 2 : 1);
          ++i) {
+      if (std::bernoulli_distribution(datagram_loss_)(random_)) continue;
       const Daemon& sentinel = daemons_[daemon.asks[i]];
       daemon.schedule.OnPeerReport({.revision = sentinel.revision,
                                     .confirmed_at = sentinel.confirmed_at},
@@ -137,13 +152,18 @@
                       now_ - *daemon.peer_ahead_since >= milliseconds(600);
     if (now_ - daemon.started >= daemon.wait + kCallTimeout) {
       daemon.is_lost = true;
-      daemon.next_call = now_ + milliseconds(900);
+      daemon.is_severed = false;
+      daemon.next_call = now_ + daemon.retry_delay;
+      daemon.retry_delay =
+          std::min<Duration>(2 * daemon.retry_delay, milliseconds(900));
     } else if (lags) {
+      daemon.is_severed = false;
       daemon.peer_ahead_since.reset();
       daemon.next_call = now_;
     } else if (now_ >=
                daemon.schedule.GiveUpTime(daemon.started, daemon.wait)) {
       daemon.schedule.OnAbandoned();
+      daemon.is_severed = false;
       daemon.next_call = now_;
     }
   }
@@ -152,7 +172,7 @@
     ++calls_;
     daemon.next_call.reset();
     daemon.started = now_;
-    daemon.is_swallowed = is_silent_ || daemon.is_cut_off;
+    daemon.is_swallowed = is_silent_ || daemon.is_cut_off || daemon.is_severed;
     daemon.wait = daemon.schedule.Wait(now_, {.is_sentinel = daemon.is_sentinel,
                                               .is_store_lost = daemon.is_lost});
   }
@@ -162,6 +182,7 @@
     daemon.revision = revision_;
     daemon.confirmed_at = now_;
     daemon.is_lost = false;
+    daemon.retry_delay = milliseconds(150);
     daemon.schedule.OnConfirmed(now_);
     const Duration delay =
         daemon.is_sentinel ? kMaxApplyDelay / 10 : kMaxApplyDelay * 4 / 10;
@@ -173,6 +194,7 @@
   std::vector<Daemon> daemons_;
   std::uint64_t revision_ = 1;
   bool is_silent_ = false;
+  double datagram_loss_ = 0;
   std::size_t calls_ = 0;
 };
 
@@ -219,6 +241,34 @@
   EXPECT_EQ(watchers.Behind(), 0U);
 }
 
+// Guards against serving by old routes because the connection to the store went
+// silent for good: only the reader's own time-outs and its peers show it. All
+// sentinels may be concerned too, and their datagrams be lost.
+TEST_P(WatchScheduleFleetTest,
+       Connections_SilentForGood_ChangeIsInForceInTime) {
+  for (const double share : {0.3, 0.7, 1.0}) {
+    for (const double datagram_loss : {0.0, 0.3}) {
+      for (const int change_before_ms : {300, 1'300, 4'000}) {
+        for (const int change_after_ms : {0, 400, 1'000, 2'500, 4'500}) {
+          VirtualWatchers watchers(GetParam());
+          watchers.SetDatagramLoss(datagram_loss);
+          watchers.Run(seconds(8));
+          watchers.Change();
+          watchers.Run(milliseconds(change_before_ms));
+          watchers.SeverConnections(share);
+          watchers.Run(milliseconds(change_after_ms));
+          watchers.Change();
+          watchers.Run(std::max(kMaxApplyDelay,
+                                kMaxStaleness - milliseconds(change_after_ms)));
+          EXPECT_EQ(watchers.Behind(), 0U)
+              << share << " severed, " << datagram_loss << " lost, change "
+              << change_after_ms << " ms after";
+        }
+      }
+    }
+  }
+}
+
 // A watch of 15 s on every daemon, the cost of the design without sentinels.
 TEST_P(WatchScheduleFleetTest,
        Store_NoChanges_CallsAreNoMoreThanOfLongWatches) {
