FaultProxy severs open connections for good

A connection that goes silent and never ends was not among the faults: the end of kSilent resets all connections, which tells the client what it missed. SeverOpen() silences the open connections for good, whatever follows, while new ones work.

--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -13,6 +13,7 @@
 
   tcp::socket client;
   tcp::socket target;
+  bool is_severed = false;
   std::array<char, 8192> to_target_buffer{};
   std::array<char, 8192> to_client_buffer{};
 };
@@ -31,6 +32,10 @@
   if (has_discarded_bytes || fault == Fault::kReset) ResetAll();
 }
 
+void FaultProxy::SeverOpen() {
+  for (const auto& connection : connections_) connection->is_severed = true;
+}
+
 void FaultProxy::Accept() {
   acceptor_.async_accept(
       [this](boost::system::error_code error, tcp::socket socket) {
@@ -62,12 +67,15 @@
       asio::buffer(buffer),
       [this, connection, to_target](boost::system::error_code error,
                                     std::size_t bytes) {
+        // The client of a severed connection does not learn of its end.
+        if (error && connection->is_severed && !to_target) return;
         if (error) {
           Reset(connection);
           connections_.remove(connection);
           return;
         }
-        const bool is_discarded = fault_ == Fault::kSilent ||
+        const bool is_discarded = connection->is_severed ||
+                                  fault_ == Fault::kSilent ||
                                   (fault_ == Fault::kDropReplies && !to_target);
         if (is_discarded) {
           Forward(connection, to_target);
@@ -105,8 +113,11 @@
 }
 
 void FaultProxy::ResetAll() {
-  for (const auto& connection : connections_) Reset(connection);
-  connections_.clear();
+  for (const auto& connection : connections_) {
+    if (!connection->is_severed) Reset(connection);
+  }
+  connections_.remove_if(
+      [](const auto& connection) { return !connection->is_severed; });
 }
 
 }  // namespace lacewingknot::testing
--- a/testing/fault_proxy.h
+++ b/testing/fault_proxy.h
@@ -35,6 +35,9 @@
   // Applies `fault` to open connections too. Discarded bytes cannot be
   // recovered, so the end of kSilent or kDropReplies resets all connections.
   void set_fault(Fault fault);
+  // Open connections go silent for good; no later fault closes them. New ones
+  // work.
+  void SeverOpen();
 
  private:
   struct ProxiedConnection;
