A reply of the store with an endless chunk header no longer fills memory

Cause: HttpConnection buffered an incomplete chunk header or trailer without a limit. Boost.Beast limits the head and the body, but not these; reading ended only when the caller gave up, after its call timeout.

The buffer has a maximum size now, beyond which the reply is malformed. It holds no body: that is consumed as it arrives, and has its own limit.

--- a/lacewingknot/net/http_connection.h
+++ b/lacewingknot/net/http_connection.h
@@ -59,6 +59,9 @@
  public:
   // A reply with a larger body fails with kMalformedAnswer.
   static constexpr std::size_t kMaxReplyBytes = 8 << 20;
+  // The most bytes buffered of an incomplete head, chunk header or trailer; a
+  // reply with a longer one fails with kMalformedAnswer.
+  static constexpr std::size_t kMaxBufferedBytes = 64 << 10;
 
   struct Options {
     // Called when the peer closes the connection, or sends unexpected bytes,
@@ -114,7 +117,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::ip::tcp::endpoint endpoint_;
   Options options_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<Request> request_;
   std::optional<Parser> parser_;
   ReplyCallback on_reply_;
