Messages of peers are refused before they are decoded into many objects

Cause: MessagePack allocates an array by the size that it claims, and an object in memory is 24 times a nil of the encoding. A relay frame of the largest size made of nils takes hundreds of megabytes (by calculation), and a datagram of five bytes claims gigabytes.

Evidence: without the change, RelayFrameTest.Frame_OfManySmallObjects_* fails (std::bad_cast: decoded first), Frame_ClaimingArrayWithoutItems_* fails (std::bad_alloc) and GossipMessageTest.Message_ClaimingArrayWithoutItems_* fails (insufficient bytes: after allocating). With it, none.

The objects are counted without storing them, up to a limit that a message of the most statements and attempts does not reach.

--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingknot/edge/internal/object_count.h"
 #include "lacewingknot/edge/internal/statement_codec.h"
 
 namespace lacewingknot::edge {
@@ -244,6 +245,12 @@
 }
 
 Result<GossipMessage> DecodeGossip(std::string_view bytes) {
+  // More than the largest datagram can hold.
+  constexpr std::size_t kMaxObjects = 64 << 10;
+  if (internal::HasMoreObjects(bytes, kMaxObjects)) {
+    return Error{ErrorType::kPeerProtocol,
+                 "more objects than a message can have"};
+  }
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
     return ParseMessage(handle.get().as<WireMessage>());
--- a/lacewingknot/edge/gossip_messages_test.cc
+++ b/lacewingknot/edge/gossip_messages_test.cc
@@ -190,6 +190,13 @@
   EXPECT_FALSE(DecodeGossip(EncodeGossip(message)).has_value());
 }
 
+// Guards against memory that is allocated because a datagram claims an array.
+TEST(GossipMessageTest, Message_ClaimingArrayWithoutItems_IsRejected) {
+  const auto decoded = DecodeGossip(std::string("\xdd\x0f\xff\xff\xff", 5));
+  ASSERT_FALSE(decoded.has_value());
+  EXPECT_EQ(decoded.error().detail, "more objects than a message can have");
+}
+
 RC_GTEST_PROP(GossipMessageProperty, Message_AnyBytes_IsDecodedOrRejected,
               (const std::string& bytes)) {
   (void)DecodeGossip(bytes);
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <utility>
 
+#include "lacewingknot/edge/internal/object_count.h"
 #include "lacewingknot/edge/internal/statement_codec.h"
 
 namespace lacewingknot::edge {
@@ -18,6 +19,9 @@
 // More than the upstreams of all shards of a query.
 constexpr std::size_t kMaxStatements = 4'096;
 
+// More than a message of the most statements and attempts has.
+constexpr std::size_t kMaxObjects = 128 << 10;
+
 // Message kinds. A message with a new layout needs a new number.
 constexpr std::uint32_t kAttemptRequestKind = 5;
 constexpr std::uint32_t kResultsKind = 6;
@@ -207,9 +211,13 @@
   if (received.size() < kLengthPrefixBytes + length) {
     return std::optional<RelayMessage>();
   }
+  const std::string_view body(received.data() + kLengthPrefixBytes, length);
+  if (internal::HasMoreObjects(body, kMaxObjects)) {
+    return Error{ErrorType::kPeerProtocol,
+                 "more objects than a message can have"};
+  }
   try {
-    const auto handle =
-        msgpack::unpack(received.data() + kLengthPrefixBytes, length);
+    const auto handle = msgpack::unpack(body.data(), body.size());
     std::optional<RelayMessage> message = ParseMessage(handle.get());
     received.erase(0, kLengthPrefixBytes + length);
     return message;
--- a/lacewingknot/edge/relay_messages_test.cc
+++ b/lacewingknot/edge/relay_messages_test.cc
@@ -94,6 +94,23 @@
   EXPECT_EQ(ExtractRelayFrame(received).error().type, ErrorType::kPeerProtocol);
 }
 
+// Guards against frames that take many times their size when decoded.
+TEST(RelayFrameTest, Frame_OfManySmallObjects_IsRejectedBeforeDecoding) {
+  constexpr std::size_t kObjects = 1 << 20;
+  std::string received("\x00\x10\x00\x05\xdd\x00\x10\x00\x00", 9);
+  received += std::string(kObjects, '\xc0');
+  const auto extracted = ExtractRelayFrame(received);
+  ASSERT_FALSE(extracted.has_value());
+  EXPECT_EQ(extracted.error().detail, "more objects than a message can have");
+}
+
+TEST(RelayFrameTest, Frame_ClaimingArrayWithoutItems_IsRejected) {
+  std::string received("\x00\x00\x00\x05\xdd\xff\xff\xff\xff", 9);
+  const auto extracted = ExtractRelayFrame(received);
+  ASSERT_FALSE(extracted.has_value());
+  EXPECT_EQ(extracted.error().detail, "more objects than a message can have");
+}
+
 TEST(RelayFrameTest, Attempt_UnknownKind_IsRejected) {
   std::string frame = EncodeRelayFrame(
       RelayAttemptRequest{.attempts = {{.kind = static_cast<AttemptKind>(9)}}});
