Answers of all upstreams and relays share a budget of bytes

Cause: each answer was limited, to 8 MB, but not all of them together. Besides, a connection kept the bytes of a lost answer until it was destroyed, up to the connect timeout (700 ms) after it was opened, because a timer refers to it.

Evidence: ManyEndlessAnswersTest asks 24 faulty upstreams as shards of one query. With it both pass, and a request of another client, answered with 100 kB, succeeds meanwhile. HeldMemoryTest.Relays_* passed without the change too, so it shows nothing yet of the limit on frames of relays, which rests on the same budget.

AnswerBudget gives an answer a third of what the others leave free: faulty ones end early and free their bytes, ordinary ones still fit, one large answer alone as before. Bytes are reserved as they arrive, and freed when the answer has been passed on or dropped. An attempt whose answer does not fit is lost (answer_budget), with a metric and at most one log line a second (E1211); a relay whose frame does not fit loses its connection. Frames between daemons that are not written yet have a budget of their own.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -73,6 +73,7 @@
     EventInfo{Event::kUpstreamLeaving, "upstream_leaving", Level::kInfo},
     EventInfo{Event::kUpstreamStatementMalformed,
               "upstream_statement_malformed", Level::kWarning},
+    EventInfo{Event::kAnswerDropped, "answer_dropped", Level::kWarning},
     EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning,
               kPerRequest},
     EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo, kPerRequest},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -71,6 +71,7 @@
   kUpstreamWaits = 1208,
   kUpstreamLeaving = 1209,
   kUpstreamStatementMalformed = 1210,
+  kAnswerDropped = 1211,
   kQueryPartial = 1301,
   kQueryRefused = 1302,
   kWriteUnknown = 1303,
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -41,6 +41,16 @@
 // HTTP status of an upstream that is not the expected one.
 inline constexpr int kMisdirectedStatus = 421;
 
+// Causes of attempts that are lost because their answer is too large, or
+// because too many bytes of answers are held.
+inline constexpr std::string_view kCauseAnswerTooLarge = "answer_too_large";
+inline constexpr std::string_view kCauseAnswerBudget = "answer_budget";
+
+// Receives answers that were dropped for one of these causes: who sent them,
+// and how many bytes of the answer were held.
+using AnswerDroppedHook = std::function<void(
+    std::string_view from, std::string_view cause, std::size_t bytes)>;
+
 // Why an attempt is made.
 enum class AttemptKind { kFirst, kHedge, kRetry };
 inline constexpr std::size_t kAttemptKindCount = 3;
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -73,10 +73,34 @@
       relays_({.io = options_.io,
                .timers = &timers_,
                .data_centre = options_.data_centre,
-               .on_statements = [this](std::span<const StatementReport> reports,
-                                       std::string_view from) {
-                 ApplyStatements(reports, from);
-               }}) {}
+               .answer_budget = answer_budget_,
+               .on_answer_dropped =
+                   [this](std::string_view from, std::string_view cause,
+                          std::size_t bytes) {
+                     OnAnswerDropped(from, cause, bytes);
+                   },
+               .on_statements =
+                   [this](std::span<const StatementReport> reports,
+                          std::string_view from) {
+                     ApplyStatements(reports, from);
+                   }}) {}
+
+void EdgeCore::OnAnswerDropped(std::string_view from, std::string_view cause,
+                               std::size_t bytes) {
+  options_.metrics->OnAnswerDropped(cause);
+  const TimePoint now = BootClock::now();
+  if (now - answer_dropped_logged_at_ < kAnswerDroppedLogInterval) {
+    ++unlogged_dropped_answers_;
+    return;
+  }
+  answer_dropped_logged_at_ = now;
+  LogEvent(Event::kAnswerDropped,
+           {{"from", from},
+            {"cause", cause},
+            {"bytes", bytes},
+            {"held_bytes", answer_budget_->held_bytes()},
+            {"unlogged", std::exchange(unlogged_dropped_answers_, 0)}});
+}
 
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
   ServicePtr& service = services_[name];
@@ -289,6 +313,10 @@
                                               {"cause", cause}});
           },
       .on_connection_opened = [metrics] { metrics->OnConnectionOpened(); },
+      .answer_budget = answer_budget_,
+      .on_answer_dropped =
+          [this](std::string_view from, std::string_view cause,
+                 std::size_t bytes) { OnAnswerDropped(from, cause, bytes); },
       .on_cold_presumption =
           [metrics](const UpstreamRecord& about, bool is_cold,
                     std::string_view cause) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -26,6 +26,7 @@
 #include "lacewingknot/edge/service.h"
 #include "lacewingknot/edge/timer_queue.h"
 #include "lacewingknot/edge/upstream_directory.h"
+#include "lacewingknot/policy/answer_budget.h"
 #include "lacewingknot/policy/demand_shares.h"
 #include "lacewingknot/policy/latency_window.h"
 #include "lacewingknot/policy/mechanisms.h"
@@ -141,6 +142,15 @@
 
   // Null until the first routing table.
   std::shared_ptr<const BoundTable> routes() const { return routes_; }
+  // Limits the bytes that clients and entry daemons have not read yet, or sent
+  // of incomplete frames.
+  const std::shared_ptr<AnswerBudget>& unread_budget() const {
+    return unread_budget_;
+  }
+  // Limits the bytes of answers that upstreams and relays have sent.
+  const std::shared_ptr<AnswerBudget>& answer_budget() const {
+    return answer_budget_;
+  }
   const RelayTable& relay_table() const { return relays_; }
   // Null if neither a route nor an upstream names the service.
   ServicePtr FindService(std::string_view name) const;
@@ -172,10 +182,15 @@
   // the same time.
   static constexpr Duration kLatestStatementsLifetime =
       std::chrono::milliseconds(250);
+  // Least time between two logged answers that were dropped.
+  static constexpr Duration kAnswerDroppedLogInterval = std::chrono::seconds(1);
   // Interval of checks for due reports of demand.
   static constexpr Duration kDemandCheckInterval =
       std::chrono::milliseconds(250);
 
+  // Counts and logs an answer that was dropped because of its size.
+  void OnAnswerDropped(std::string_view from, std::string_view cause,
+                       std::size_t bytes);
   void Preconnect();
   ServicePtr FindOrCreateService(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
@@ -196,6 +211,12 @@
 
   Options options_;
   TimerQueue timers_;
+  std::shared_ptr<AnswerBudget> answer_budget_ =
+      std::make_shared<AnswerBudget>(AnswerBudget::Options{});
+  std::shared_ptr<AnswerBudget> unread_budget_ =
+      std::make_shared<AnswerBudget>(AnswerBudget::Options{});
+  TimePoint answer_dropped_logged_at_{};
+  std::size_t unlogged_dropped_answers_ = 0;
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -54,6 +54,11 @@
                  .Help("Requests and shards that found all replicas withheld, "
                        "by outcome.")
                  .Register(*registry_)),
+      answers_dropped_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_answers_dropped_total")
+              .Help("Answers dropped because of their size, by reason.")
+              .Register(*registry_)),
       health_changes_(prometheus::BuildCounter()
                           .Name("lacewingknot_edge_upstream_beliefs_total")
                           .Help("Changes of belief about an upstream.")
@@ -172,6 +177,10 @@
   waits_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EdgeMetrics::OnAnswerDropped(std::string_view cause) {
+  answers_dropped_.Add({{"reason", std::string(cause)}}).Increment();
+}
+
 void EdgeMetrics::OnUpstreamHealthChange(std::string_view health) {
   health_changes_.Add({{"belief", std::string(health)}}).Increment();
 }
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -47,6 +47,8 @@
   // All replicas withheld themselves from a request or shard: it "waits", or
   // waiting would take it "too_late".
   void OnWait(std::string_view outcome);
+  // An answer was dropped because of its size, for `cause`.
+  void OnAnswerDropped(std::string_view cause);
   void OnUpstreamHealthChange(std::string_view health);
   void OnConnectionOpened();
   // An `outcome` of "ok" confirms what is known of the store.
@@ -85,6 +87,7 @@
   prometheus::Counter& malformed_statements_;
   prometheus::Family<prometheus::Counter>& statement_reports_;
   prometheus::Family<prometheus::Counter>& waits_;
+  prometheus::Family<prometheus::Counter>& answers_dropped_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Counter& connections_opened_;
--- a/lacewingknot/edge/endless_answer_test.cc
+++ b/lacewingknot/edge/endless_answer_test.cc
@@ -1,24 +1,20 @@
 // Tests upstreams that send bytes without end instead of a complete answer: the
 // daemon must end the request and close the connection.
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
+#include <malloc.h>
+
+#include <algorithm>
 #include <memory>
 
 #include "testing/edge_fixture.h"
+#include "testing/endless_server.h"
 
 namespace lacewingknot::edge {
 namespace {
 
 using std::chrono::milliseconds;
-
-struct EndlessAnswer {
-  const char* name;
-  std::string begin;
-  std::string repeat;
-  std::size_t max_sent_bytes;  // The most that the daemon may accept.
-};
+using testing::EndlessAnswer;
+using testing::EndlessServer;
 
 // Allowance for the buffers of both sockets, which fill in addition to what the
 // daemon reads.
@@ -31,53 +27,6 @@
   return lines;
 }
 
-// Reads a request, then sends until the peer closes the connection.
-class EndlessServer : public std::enable_shared_from_this<EndlessServer> {
- public:
-  EndlessServer(boost::asio::io_context& io, const EndlessAnswer& answer)
-      : answer_(answer),
-        acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}),
-        socket_(io) {}
-
-  void Start() {
-    acceptor_.async_accept(
-        socket_, [self = shared_from_this()](boost::system::error_code error) {
-          if (error) return;
-          self->socket_.async_read_some(
-              boost::asio::buffer(self->request_),
-              [self](boost::system::error_code, std::size_t) {
-                self->Write(self->answer_.begin);
-              });
-        });
-  }
-
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  bool closed() const { return closed_; }
-  std::size_t sent() const { return sent_; }
-
- private:
-  void Write(const std::string& bytes) {
-    boost::asio::async_write(
-        socket_, boost::asio::buffer(bytes),
-        [self = shared_from_this()](boost::system::error_code error,
-                                    std::size_t written) {
-          self->sent_ += written;
-          if (error) {
-            self->closed_ = true;
-          } else {
-            self->Write(self->answer_.repeat);
-          }
-        });
-  }
-
-  const EndlessAnswer& answer_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::socket socket_;
-  std::array<char, 4096> request_{};
-  std::size_t sent_ = 0;
-  bool closed_ = false;
-};
-
 class EndlessAnswerTest : public testing::EdgeFixture,
                           public ::testing::WithParamInterface<EndlessAnswer> {
  protected:
@@ -151,5 +100,124 @@
   RunUntil([&] { return endless_->closed(); });
 }
 
+// Measures the memory that the process holds while faulty upstreams or relays
+// send.
+class HeldMemoryTest : public testing::EdgeFixture {
+ protected:
+  // Of 128 MB, the smallest VM, without what the process needs otherwise.
+  static constexpr std::size_t kMaxHeapGrowth = 64 << 20;
+
+  void StartMeasuring() { heap_before_ = HeapBytes(); }
+  // Runs until `done`, and records the most memory that the process held.
+  void RunAndMeasureUntil(const std::function<bool()>& done) {
+    RunUntil([&] {
+      heap_peak_ = std::max(heap_peak_, HeapBytes());
+      return done();
+    });
+  }
+  std::size_t HeapGrowth() const {
+    return heap_peak_ - std::min(heap_peak_, heap_before_);
+  }
+
+ private:
+  static std::size_t HeapBytes() {
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  }
+
+  std::size_t heap_before_ = 0;
+  std::size_t heap_peak_ = 0;
+};
+
+// Many faulty upstreams at once, asked as the shards of one query.
+class ManyEndlessAnswersTest : public HeldMemoryTest {
+ protected:
+  static constexpr std::size_t kUpstreams = 24;
+
+  // Starts a query whose shards are one proper upstream and kUpstreams that
+  // send `answer`.
+  void StartQuery(const EndlessAnswer& answer) {
+    std::vector<std::string> shards{"proper"};
+    AddUpstream("proper", RepliesWith(MakeRecord('k')));
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      endless_.push_back(std::make_shared<EndlessServer>(io_, answer));
+      endless_.back()->Start();
+      shards.push_back("endless-" + std::to_string(i));
+      AddUpstream(shards.back(), NeverReplies()).record.address =
+          "127.0.0.1:" + std::to_string(endless_.back()->port());
+    }
+    AddUpstream("other", RepliesWith(std::string(kOrdinaryBytes, 'o')));
+    RouteSpec scatter = ScatterRoute(shards);
+    scatter.min_coverage = 0.01;
+    scatter.target_latency = milliseconds(1'400);
+    ApplyRoutes({scatter, PassRoute("other", RetryPolicy::kAtMostOnce)});
+    StartMeasuring();
+    client_.Write(
+        "GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: q\r\n"
+        "X-Left: 1500\r\n\r\n");
+  }
+
+  bool AllClosed() const {
+    return std::all_of(endless_.begin(), endless_.end(),
+                       [](const auto& server) { return server->closed(); });
+  }
+
+  static constexpr std::size_t kOrdinaryBytes = 100'000;
+  std::vector<std::shared_ptr<EndlessServer>> endless_;
+  testing::RawClient client_{io_, server_.port()};
+};
+
+// Guards against answers that are each allowed but together exceed a VM.
+TEST_F(ManyEndlessAnswersTest, Answers_StalledBeforeTheirEnd_FitIntoMemory) {
+  constexpr std::size_t kJustAllowedBytes = 7 << 20;
+  StartQuery({.name = "Stalled",
+              .begin = "HTTP/1.1 200 OK\r\n\r\n",
+              .repeat = std::string(16'000, 'x'),
+              .stall_after = kJustAllowedBytes});
+  const TimePoint end = BootClock::now() + milliseconds(1'000);
+  RunAndMeasureUntil([&] { return BootClock::now() >= end; });
+  const HttpReply other = SendRequest("/p/1", "other");
+  EXPECT_EQ(other.status, 200);
+  EXPECT_EQ(other.body.size(), kOrdinaryBytes);
+  RunAndMeasureUntil([&] { return AllClosed(); });
+  EXPECT_LE(HeapGrowth(), kMaxHeapGrowth);
+  EXPECT_EQ(client_.received().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against lost answers whose bytes stay in memory.
+TEST_F(ManyEndlessAnswersTest, Answers_WithoutEnd_FitIntoMemory) {
+  StartQuery({.name = "Endless",
+              .begin = "HTTP/1.1 200 OK\r\n\r\n",
+              .repeat = std::string(16'000, 'x')});
+  RunAndMeasureUntil([&] { return AllClosed(); });
+  EXPECT_LE(HeapGrowth(), kMaxHeapGrowth);
+}
+
+// Guards against relays whose frames are each allowed but together exceed a VM.
+TEST_F(HeldMemoryTest, Relays_FramesStalledBeforeTheirEnd_FitIntoMemory) {
+  constexpr std::size_t kRelays = 12;
+  const EndlessAnswer frame{.name = "Frame",
+                            .begin = std::string("\0\xff\xff\xff", 4),
+                            .repeat = std::string(16'000, 'x'),
+                            .stall_after = 15 << 20,
+                            .is_unasked = true};
+  std::vector<std::shared_ptr<EndlessServer>> relays;
+  std::vector<RelayCandidate> candidates;
+  for (std::size_t i = 0; i < kRelays; ++i) {
+    relays.push_back(std::make_shared<EndlessServer>(io_, frame));
+    relays.back()->Start();
+    candidates.push_back(
+        {.address = "127.0.0.1:" + std::to_string(relays.back()->port()),
+         .processor_share = 1});
+  }
+  AddUpstream("a", RepliesWith(MakeRecord('k')));
+  ApplyRoutes({ScatterRoute({"a"})});
+  StartMeasuring();
+  core_.set_members({{"here", candidates}}, "127.0.0.1:9999");
+  const TimePoint end = BootClock::now() + milliseconds(1'500);
+  RunAndMeasureUntil([&] { return BootClock::now() >= end; });
+  EXPECT_LE(HeapGrowth(), kMaxHeapGrowth);
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -16,6 +16,7 @@
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/edge/header_names.h"
+#include "lacewingknot/policy/answer_budget.h"
 #include "lacewingknot/policy/upstream_gate.h"
 
 namespace lacewingknot::edge {
@@ -51,6 +52,7 @@
   std::optional<Duration> idle_timeout;
   std::string forwarded_headers;  // Filled only if headers are collected.
   std::string body;
+  AnswerBudget::Reservation held;  // For the memory of `body`.
 };
 
 // Whether `status` is a success (2xx).
--- a/lacewingknot/edge/relay_channel.cc
+++ b/lacewingknot/edge/relay_channel.cc
@@ -1,5 +1,6 @@
 #include "lacewingknot/edge/relay_channel.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -12,7 +13,10 @@
 namespace asio = boost::asio;
 
 RelayChannel::RelayChannel(asio::ip::tcp::socket socket, Options options)
-    : socket_(std::move(socket)), options_(std::move(options)) {}
+    : socket_(std::move(socket)),
+      options_(std::move(options)),
+      held_received_(options_.budget),
+      held_unsent_(options_.budget) {}
 
 void RelayChannel::Start() {
   internal::SetUpstreamSocketOptions(socket_);
@@ -36,6 +40,10 @@
     CloseAndReport("connection_lost");
     return;
   }
+  if (!held_received_.TryGrow(bytes)) {
+    CloseAndReport(kCauseAnswerBudget);
+    return;
+  }
   received_.append(read_buffer_.data(), bytes);
   while (!is_closed_) {
     auto message = ExtractRelayFrame(received_);
@@ -46,6 +54,7 @@
       return;
     }
     if (!message.value()) break;
+    held_received_.ShrinkTo(received_.size());
     options_.on_message(std::move(*message.value()));
   }
   if (!is_closed_) Read();
@@ -63,7 +72,8 @@
     if (written == frame.size()) return;
   }
   unsent_.append(frame, written);
-  if (unsent_.size() > kMaxUnsentBytes) {
+  if (!held_unsent_.TryGrow(frame.size() - written) ||
+      unsent_.size() > kMaxUnsentBytes) {
     // Deferred, because `on_closed` must not run inside the caller, which is
     // still updating its own state.
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -79,7 +89,9 @@
   asio::async_write(socket_, asio::buffer(write_buffer_),
                     [self = shared_from_this()](boost::system::error_code error,
                                                 std::size_t) {
-                      self->write_buffer_.clear();
+                      self->write_buffer_ = {};
+                      self->held_unsent_.ShrinkTo(std::min(
+                          self->held_unsent_.bytes(), self->unsent_.size()));
                       // The pending read reports a failed write.
                       if (error || self->is_closed_ || self->unsent_.empty()) {
                         return;
@@ -91,6 +103,10 @@
 void RelayChannel::Close() {
   if (is_closed_) return;
   is_closed_ = true;
+  received_ = {};
+  unsent_ = {};
+  held_received_ = {};
+  held_unsent_ = {};
   boost::system::error_code ignored;  // The socket is discarded either way.
   socket_.close(ignored);
 }
--- a/lacewingknot/edge/relay_channel.h
+++ b/lacewingknot/edge/relay_channel.h
@@ -26,6 +26,7 @@
 #include <utility>
 
 #include "lacewingknot/edge/relay_messages.h"
+#include "lacewingknot/policy/answer_budget.h"
 
 namespace lacewingknot::edge {
 
@@ -35,6 +36,9 @@
     std::function<void(RelayMessage)> on_message;
     // Called once when the connection ends, unless Close() ended it.
     std::function<void(std::string_view cause)> on_closed;
+    // Limits the bytes of frames that are not complete or not written yet; null
+    // for no limit. A frame that does not fit ends the connection.
+    std::shared_ptr<AnswerBudget> budget;
   };
 
   // `socket` must be connected.
@@ -60,7 +64,9 @@
   Options options_;
   std::array<char, 8192> read_buffer_{};
   std::string received_;
+  AnswerBudget::Reservation held_received_;
   std::string unsent_;
+  AnswerBudget::Reservation held_unsent_;
   std::string write_buffer_;
   bool is_closed_ = false;
 };
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -9,6 +9,19 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Makes `result` a lost attempt, because its answer was dropped.
+void MarkDropped(RelayResult& result) {
+  if (result.end != AttemptEnd::kAnswered) return;
+  result.end = AttemptEnd::kLost;
+  result.cause = kCauseAnswerBudget;
+  result.signature.clear();
+  result.records = {};
+}
+
+}  // namespace
+
 void RelayLink::Open() {
   if (is_closed_) return;
   const auto endpoint = ParseEndpoint(options_.address);
@@ -35,10 +48,11 @@
 void RelayLink::OnConnected(asio::ip::tcp::socket socket) {
   is_relay_stopping_ = false;
   unacknowledged_since_.reset();
-  channel_ = std::make_shared<RelayChannel>(
-      std::move(socket),
-      MakeWeakCallbacks(weak_from_this(), &RelayLink::OnMessage,
-                        &RelayLink::OnConnectionLost));
+  RelayChannel::Options channel = MakeWeakCallbacks(
+      weak_from_this(), &RelayLink::OnMessage, &RelayLink::OnConnectionLost);
+  channel.budget = options_.answer_budget;
+  channel_ =
+      std::make_shared<RelayChannel>(std::move(socket), std::move(channel));
   channel_->Start();
   LogEvent(Event::kRelayConnected, {{"relay", options_.address}});
 }
@@ -141,30 +155,55 @@
   }
   const auto found = batch_callbacks_.find(message.query);
   if (found == batch_callbacks_.end() || message.results.empty()) return;
+  std::optional<AnswerBudget::Reservation> held = Hold(message.records.size());
+  if (!held) {
+    // The records of a batch cannot be told apart.
+    message.records = {};
+    for (RelayResult& result : message.results) {
+      if (result.records.empty()) MarkDropped(result);
+    }
+    held.emplace();
+  }
   // Copied, because the callback may call AbandonQuery() and erase itself.
   const BatchCallback on_batch = found->second;
-  on_batch(std::move(message.records), [&] {
+  on_batch(std::move(message.records), *std::move(held), [&] {
     for (RelayResult& result : message.results) FinishAttempt(result);
   });
 }
 
+std::optional<AnswerBudget::Reservation> RelayLink::Hold(std::size_t bytes) {
+  AnswerBudget::Reservation held(options_.answer_budget);
+  if (held.TryGrow(bytes)) return held;
+  if (options_.on_answer_dropped) {
+    options_.on_answer_dropped(options_.address, kCauseAnswerBudget, bytes);
+  }
+  return std::nullopt;
+}
+
 void RelayLink::FinishAttempt(RelayResult& result) {
   const auto found = pending_attempts_.find(result.number);
   if (found == pending_attempts_.end()) return;
+  auto held = Hold(result.records.size());
+  if (!held) MarkDropped(result);
   const AttemptPtr attempt = found->second;
   pending_attempts_.erase(found);
   attempt->upstream = std::move(result.upstream);
-  attempt->Finish({.end = result.end,
-                   .reply = {.status = result.status,
-                             .request_id = attempt->request->request_id,
-                             .signature = std::move(result.signature),
-                             .body = std::move(result.records)},
-                   .cause = InternCause(result.cause)});
+  attempt->Finish(
+      {.end = result.end,
+       .reply = {.status = result.status,
+                 .request_id = attempt->request->request_id,
+                 .signature = std::move(result.signature),
+                 .body = std::move(result.records),
+                 .held = held ? *std::move(held) : AnswerBudget::Reservation()},
+       .cause = InternCause(result.cause)});
 }
 
 void RelayLink::OnConnectionLost(std::string_view cause) {
   channel_ = nullptr;
   unacknowledged_since_.reset();
+  if (cause == kCauseAnswerBudget && options_.on_answer_dropped) {
+    options_.on_answer_dropped(options_.address, cause, 0);
+  }
   LogEvent(Event::kRelayLost, {{"relay", options_.address},
                                {"reason", cause},
                                {"attempts", pending_attempts_.size()}});
--- a/lacewingknot/edge/relay_link.h
+++ b/lacewingknot/edge/relay_link.h
@@ -36,6 +36,10 @@
     boost::asio::io_context* io = nullptr;
     TimerQueue* timers = nullptr;
     std::string address;  // IP:PORT of the relay.
+    // Limits the answers that are held; null for no limit. A frame that does
+    // not fit ends the connection, a result that does not fit is kLost.
+    std::shared_ptr<AnswerBudget> answer_budget;
+    AnswerDroppedHook on_answer_dropped;
     // Called with what the relay, `from`, reports that upstreams say.
     std::function<void(std::span<const StatementReport> reports,
                        std::string_view from)>
@@ -52,11 +56,12 @@
   // Whether new attempts may be delegated to this relay.
   bool is_usable(TimePoint now) const;
 
-  // Receives one batch of a query's results: its merged records, and a function
-  // that finishes all attempts in the batch. The caller must either count all
-  // of these attempts or discard the records.
-  using BatchCallback = std::function<void(
-      std::string records, const std::function<void()>& finish_attempts)>;
+  // Receives one batch of a query's results: its merged records, what is held
+  // for them, and a function that finishes all attempts in the batch. The
+  // caller must either count all of these attempts or discard the records.
+  using BatchCallback =
+      std::function<void(std::string records, AnswerBudget::Reservation held,
+                         const std::function<void()>& finish_attempts)>;
 
   // Registers an attempt and returns its number. The result arrives through
   // `attempt->on_done`, never from within a call to this class other than
@@ -88,6 +93,8 @@
   void OnMessage(RelayMessage message);
   void OnResults(RelayResults message);
   void FinishAttempt(RelayResult& result);
+  // Reserves `bytes` of an answer; empty, and reported, if they do not fit.
+  std::optional<AnswerBudget::Reservation> Hold(std::size_t bytes);
   void OnConnectionLost(std::string_view cause);
   void FailPendingAttempts();
   void ScheduleReconnect();
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -45,7 +45,7 @@
 using WireStopNotice = std::tuple<std::uint32_t>;
 
 // Causes that upstreams and relays report for attempts without an answer.
-constexpr std::array<std::string_view, 25> kKnownCauses{
+constexpr std::array<std::string_view, 27> kKnownCauses{
     "",
     kCauseRelayLost,
     "unusable",
@@ -70,7 +70,9 @@
     kCauseUnsigned,
     kCauseAnsweredAlready,
     kCauseBetterElsewhere,
-    "closed_while_idle"};
+    "closed_while_idle",
+    kCauseAnswerTooLarge,
+    kCauseAnswerBudget};
 
 struct Packer {
   msgpack::sbuffer& bytes;
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -9,10 +9,11 @@
 namespace lacewingknot::edge {
 
 void RelaySession::Start(boost::asio::ip::tcp::socket socket) {
-  channel_ = std::make_shared<RelayChannel>(
-      std::move(socket),
-      MakeWeakCallbacks(weak_from_this(), &RelaySession::OnMessage,
-                        &RelaySession::OnClosed));
+  RelayChannel::Options channel = MakeWeakCallbacks(
+      weak_from_this(), &RelaySession::OnMessage, &RelaySession::OnClosed);
+  channel.budget = options_.core->unread_budget();
+  channel_ =
+      std::make_shared<RelayChannel>(std::move(socket), std::move(channel));
   channel_->Start();
 }
 
@@ -184,6 +185,7 @@
     query.unsent_statements[upstream->record().id] =
         MakeStatementReport(upstream->record(), upstream->gate(), now);
   }
+  if (is_part) query.unsent_held.push_back(std::move(result.reply.held));
   if (is_part && !delegated.returns_own_records) {
     query.unsent_parts.push_back(std::move(result.reply.body));
     result.reply.body.clear();
@@ -230,6 +232,7 @@
 void RelaySession::SendResults(std::uint64_t query_number, Query& query) {
   query.has_pending_send = false;
   const auto bodies = std::exchange(query.unsent_parts, {});
+  const auto held = std::exchange(query.unsent_held, {});
   const std::vector<std::string_view> parts(bodies.begin(), bodies.end());
   std::vector<StatementReport> statements;
   for (auto& [id, report] : std::exchange(query.unsent_statements, {})) {
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -72,6 +72,8 @@
     std::size_t outstanding_attempts = 0;
     std::vector<RelayResult> unsent_results;
     std::vector<std::string> unsent_parts;  // Records of the parts in them.
+    // For the records in `unsent_parts` and `unsent_results`.
+    std::vector<AnswerBudget::Reservation> unsent_held;
     // What the answers in them say of upstreams.
     std::map<std::string, StatementReport> unsent_statements;
     bool has_pending_send = false;  // A timer will send them.
--- a/lacewingknot/edge/relay_table.cc
+++ b/lacewingknot/edge/relay_table.cc
@@ -46,6 +46,8 @@
         RelayLink::Options{.io = options_.io,
                            .timers = options_.timers,
                            .address = address,
+                           .answer_budget = options_.answer_budget,
+                           .on_answer_dropped = options_.on_answer_dropped,
                            .on_statements = options_.on_statements});
     link->Open();
   }
--- a/lacewingknot/edge/relay_table.h
+++ b/lacewingknot/edge/relay_table.h
@@ -42,6 +42,9 @@
     boost::asio::io_context* io = nullptr;
     TimerQueue* timers = nullptr;
     std::string data_centre;  // Of this daemon.
+    // As in RelayLink::Options.
+    std::shared_ptr<AnswerBudget> answer_budget;
+    AnswerDroppedHook on_answer_dropped;
     // As RelayLink::Options::on_statements.
     std::function<void(std::span<const StatementReport> reports,
                        std::string_view from)>
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -100,10 +100,11 @@
       request.relay->SetBatchCallback(
           query_number_,
           [weak = weak_from_this()](std::string records,
+                                    AnswerBudget::Reservation held,
                                     const std::function<void()>& end) {
             const auto self =
                 std::static_pointer_cast<ScatterSession>(weak.lock());
-            if (self) self->OnBatch(std::move(records), end);
+            if (self) self->OnBatch(std::move(records), std::move(held), end);
           });
     }
     request.relay->SendRequest(std::move(message), now);
@@ -143,13 +144,18 @@
                                           const AttemptResult& result) {
   shard.is_separate = false;
   shard.signature = result.reply.signature;
-  shard.records.clear();
+  shard.records = {};
+  shard.held = {};
 }
 
 void ScatterSession::OnBatch(std::string records,
+                             AnswerBudget::Reservation held,
                              const std::function<void()>& end_attempts) {
   if (finished()) return;
-  if (!records.empty()) batches_.push_back(std::move(records));
+  if (!records.empty()) {
+    batches_.push_back(std::move(records));
+    held_batches_.push_back(std::move(held));
+  }
   is_decision_deferred_ = true;
   end_attempts();
   is_decision_deferred_ = false;
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -301,6 +301,7 @@
   shard.signature = std::move(result.reply.signature);
   shard.is_separate = separate;
   shard.records = std::move(result.reply.body);
+  shard.held = std::move(result.reply.held);
   return true;
 }
 
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -60,9 +60,10 @@
     // Set while the first attempt waits for a replica that takes requests.
     std::optional<WaitingRequests::Id> waiting;
     std::string signature;
-    std::string records;       // Of a part delivered outside a batch.
-    bool is_separate = false;  // The accepted part came outside a batch.
-    std::string_view cause;    // Of the last failure.
+    std::string records;             // Of a part delivered outside a batch.
+    AnswerBudget::Reservation held;  // For `records`.
+    bool is_separate = false;        // The accepted part came outside a batch.
+    std::string_view cause;          // Of the last failure.
     // Upstreams that failed at a relay, each after an '@', for the log.
     std::string failed_at_relays;
   };
@@ -131,7 +132,8 @@
   void AbandonAtRelays();
   // Handles a batch of parts from a relay. All attempts in the batch end before
   // the query is decided.
-  void OnBatch(std::string records, const std::function<void()>& end_attempts);
+  void OnBatch(std::string records, AnswerBudget::Reservation held,
+               const std::function<void()>& end_attempts);
   // Replaces a part that came separately by the same shard's part in a batch:
   // the records of a batch cannot be told apart by shard.
   static void ReplaceByBatchedPart(Shard& shard, const AttemptResult& result);
@@ -171,6 +173,7 @@
   std::vector<RelayRequest> relay_requests_;  // Not sent yet.
   std::vector<RelayLinkPtr> queried_relays_;
   std::vector<std::string> batches_;  // Records of each batch received.
+  std::vector<AnswerBudget::Reservation> held_batches_;
   std::uint64_t query_number_ = 0;
   std::size_t answered_shards_ = 0;
   std::size_t failed_shards_ = 0;
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -206,6 +206,8 @@
           .names = options_.names,
           .upstream_id = options_.record.id,
           .has_keep_alive_probes = !options_.has_short_attempts,
+          .answer_budget = options_.answer_budget,
+          .on_answer_dropped = options_.on_answer_dropped,
           .on_open =
               [weak] {
                 if (const auto self = weak.lock()) self->OnOpened();
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -52,6 +52,9 @@
                        std::string_view cause)>
         on_health_change;
     std::function<void()> on_connection_opened;
+    // Limits the answers that are held, of all upstreams.
+    std::shared_ptr<AnswerBudget> answer_budget;
+    AnswerDroppedHook on_answer_dropped;
     // Called when the upstream is presumed cold, by `cause`, or has stated how
     // long it is cold, for the log.
     std::function<void(const UpstreamRecord& record, bool is_cold,
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -119,6 +119,7 @@
   attempt_->sent_at = now;
   stray_answers_ = 0;
   interim_answers_ = 0;
+  held_ = AnswerBudget::Reservation(options_.answer_budget);
   StartReader();
   const OutboundRequest& request = *attempt_->request;
   const std::string attempt_headers =
@@ -177,11 +178,30 @@
     Close("stray_bytes");
     return;
   }
+  if (!held_.TryGrow(bytes)) {
+    DropAnswer(kCauseAnswerBudget);
+    return;
+  }
   pending_.append(chunk_.data(), bytes);
   Parse();
+  if (state_ == State::kBusy) {
+    held_.ShrinkTo(std::min(held_.bytes(), HeldBytes()));
+  }
   if (state_ != State::kClosed) Read();
 }
 
+std::size_t UpstreamConnection::HeldBytes() {
+  const UpstreamReply& reply = reader_->reply();
+  return pending_.size() + reply.forwarded_headers.size() + reply.body.size();
+}
+
+void UpstreamConnection::DropAnswer(std::string_view cause) {
+  if (options_.on_answer_dropped) {
+    options_.on_answer_dropped(options_.upstream_id, cause, HeldBytes());
+  }
+  EndExchange({.end = AttemptEnd::kLost, .cause = cause}, false);
+}
+
 void UpstreamConnection::Parse() {
   while (state_ == State::kBusy && !pending_.empty()) {
     boost::system::error_code error;
@@ -191,6 +211,10 @@
         pending_.size() <= kMaxPendingBytes) {
       return;
     }
+    if (error == http::error::body_limit) {
+      DropAnswer(kCauseAnswerTooLarge);
+      return;
+    }
     if (error) {
       EndExchange({.end = AttemptEnd::kLost, .cause = "malformed_answer"},
                   false);
@@ -262,11 +286,15 @@
   const bool reusable = reply.keep_alive && pending_.empty() && !is_writing_ &&
                         stray_answers_ == 0;
   result.reply = std::move(reply);
+  result.reply.held = std::move(held_);
   EndExchange(std::move(result), reusable);
 }
 
 void UpstreamConnection::EndExchange(AttemptResult result, bool reusable) {
   const AttemptPtr attempt = std::exchange(attempt_, nullptr);
+  // A closed connection may exist for some time; its answer must not.
+  reader_.reset();
+  held_ = {};
   if (reusable) {
     state_ = State::kIdle;
     idle_since_ = BootClock::now();
@@ -292,6 +320,7 @@
 
 void UpstreamConnection::CloseSocket() {
   state_ = State::kClosed;
+  pending_ = {};
   boost::system::error_code ignored;  // A failed close cannot be handled.
   socket_.close(ignored);
 }
--- a/lacewingknot/edge/upstream_connection.h
+++ b/lacewingknot/edge/upstream_connection.h
@@ -9,6 +9,9 @@
 // later request is expected. Only the id tells them apart, so a connection that
 // has carried an attempt of a request must not carry another one of it.
 //
+// The bytes of an answer are taken from a budget that all connections share. An
+// answer that does not fit ends its exchange as kLost.
+//
 // Not thread-safe: runs on the io_context's thread. Keeps itself alive while an
 // operation is outstanding.
 
@@ -46,6 +49,8 @@
     // Sets socket options by which the kernel detects a dead peer
     // (internal/socket_options.h).
     bool has_keep_alive_probes = true;
+    std::shared_ptr<AnswerBudget> answer_budget;  // Null: no limit in total.
+    AnswerDroppedHook on_answer_dropped;
     // Called when the connection is open and idle.
     std::function<void()> on_open;
     // Called when an exchange has ended and the connection is idle or closed.
@@ -94,6 +99,10 @@
   void OnReadError(boost::system::error_code error);
   void OnAnswer();
   void StartReader();
+  // Ends the exchange because the answer is too large.
+  void DropAnswer(std::string_view cause);
+  // Bytes of the answer that are in memory.
+  std::size_t HeldBytes();
   void EndExchange(AttemptResult result, bool reusable);
   void CloseSocket();
 
@@ -103,7 +112,8 @@
   State state_ = State::kConnecting;
   AttemptPtr attempt_;
   std::optional<UpstreamReplyReader> reader_;
-  std::string pending_;  // Received but not parsed yet.
+  std::string pending_;             // Received but not parsed yet.
+  AnswerBudget::Reservation held_;  // For `pending_` and the reader's answer.
   std::array<char, 4096> chunk_{};
   TimePoint idle_since_{};
   std::optional<Duration> idle_timeout_;
--- /dev/null
+++ b/lacewingknot/policy/answer_budget.cc
@@ -0,0 +1,41 @@
+#include "lacewingknot/policy/answer_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingknot {
+
+std::size_t AnswerBudget::LimitBeside(std::size_t held_by_others) const {
+  const std::size_t free_bytes =
+      options_.total_bytes - std::min(options_.total_bytes, held_by_others);
+  return std::max(free_bytes / options_.divisor, options_.guaranteed_bytes);
+}
+
+AnswerBudget::Reservation::Reservation(Reservation&& other) noexcept
+    : budget_(std::move(other.budget_)),
+      bytes_(std::exchange(other.bytes_, 0)) {}
+
+AnswerBudget::Reservation& AnswerBudget::Reservation::operator=(
+    Reservation&& other) noexcept {
+  if (this == &other) return *this;
+  Resize(0);
+  budget_ = std::move(other.budget_);
+  bytes_ = std::exchange(other.bytes_, 0);
+  return *this;
+}
+
+bool AnswerBudget::Reservation::TryGrow(std::size_t bytes) {
+  const std::size_t wanted = bytes_ + bytes;
+  if (budget_ && wanted > budget_->LimitBeside(budget_->held_bytes_ - bytes_)) {
+    return false;
+  }
+  Resize(wanted);
+  return true;
+}
+
+void AnswerBudget::Reservation::Resize(std::size_t bytes) {
+  if (budget_) budget_->held_bytes_ = budget_->held_bytes_ - bytes_ + bytes;
+  bytes_ = bytes;
+}
+
+}  // namespace lacewingknot
