Reasons not to use an upstream end independently

Callers' requests reached an upstream that was draining or whose data centre was evacuated, if it had answered 421 shortly before it was marked: six seconds after the 421 it counted as usable again.

Cause: EdgeCore::UpdateUsable compared the marks with is_usable(), which is also false after a 421 or a statement of leaving. It saw no change and did not record the mark. The end of the 421's time then left no reason. Two related faults: the list of data centres with usable upstreams, by which relays are chosen, was not updated when a 421 came or its time ended.

The upstream now keeps draining (its record), evacuated, leaving, misdirected and retired apart, each with its own end, and is usable only if none holds. ApplyUsability() ends queued attempts and updates the data centres on every change. Marks of all upstreams are set before queued attempts move, so that none moves to an upstream that the same directory evacuates. `explain` shows these reasons themselves. The other readers of is_usable() (replica choice, preconnecting, health checks, waiting) and the query tier's UpstreamTable, which has one field a reason, had no such confusion.

Red before: UpstreamUsabilityTest.Upstream_MarkedWhileReplaced_StaysUnused on the former code: the evacuated upstream got 2 requests instead of 1, and its data centre stayed in the list after the 421. The test for the reverse (a mark that ends within the six seconds) passed before as well.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -288,6 +288,10 @@
                                               {"belief", health},
                                               {"cause", cause}});
           },
+      .on_usability_change =
+          [this, service = record.service] {
+            FindOrCreateService(service)->UpdateDataCentres();
+          },
       .on_connection_opened = [metrics] { metrics->OnConnectionOpened(); },
       .on_cold_presumption =
           [metrics](const UpstreamRecord& about, bool is_cold,
@@ -355,8 +359,6 @@
               service,
               source,
               {"listed_as_draining", about.draining ? 1 : 0}});
-    FindOrCreateService(about.service)->UpdateDataCentres();
-    UpdateReplicaDataCentres();
   }
   if (!from.empty()) return;
   const StatementReport report = MakeStatementReport(about, gate, now);
@@ -458,13 +460,11 @@
 
 void EdgeCore::UpdateUsable() {
   for (const auto& [id, upstream] : upstreams_) {
-    const UpstreamRecord& record = upstream->record();
-    const bool usable = !record.draining &&
-                        directory_->evacuated.count(record.data_centre) == 0;
-    if (usable == upstream->is_usable()) continue;
-    upstream->set_usable(usable);
-    FindOrCreateService(record.service)->UpdateDataCentres();
+    upstream->set_evacuated(
+        directory_->evacuated.count(upstream->record().data_centre) > 0);
   }
+  // Separately, because queued attempts of one upstream may move to another.
+  for (const auto& [id, upstream] : upstreams_) upstream->ApplyUsability();
   UpdateReplicaDataCentres();
 }
 
--- a/lacewingknot/edge/explanation.cc
+++ b/lacewingknot/edge/explanation.cc
@@ -9,17 +9,27 @@
 constexpr double kSlowThreshold = 2;
 constexpr double kFailingThreshold = 0.3;
 
+std::string_view UnusableReasonName(UnusableReason reason) {
+  switch (reason) {
+    case UnusableReason::kDraining:
+      return "draining";
+    case UnusableReason::kEvacuated:
+      return "evacuated";
+    case UnusableReason::kLeaving:
+      return "leaving";
+    case UnusableReason::kMisdirected:
+      return "replaced";
+    case UnusableReason::kRetired:
+      return "retired";
+  }
+  return "unknown";
+}
+
 std::string_view ReasonFor(const Upstream& upstream, const ReplicaLoad& load,
-                           double slowness, const Directory* directory,
-                           TimePoint now) {
-  const UpstreamRecord& record = upstream.record();
-  if (record.draining) return "draining";
-  if (directory != nullptr &&
-      directory->evacuated.count(record.data_centre) > 0) {
-    return "evacuated";
+                           double slowness, TimePoint now) {
+  if (const auto reason = upstream.unusable_reason()) {
+    return UnusableReasonName(*reason);
   }
-  if (upstream.gate().is_leaving()) return "leaving";
-  if (!upstream.is_usable()) return "replaced";
   if (load.is_backing_off) return "backing_off";
   if (now < upstream.gate().wait_until()) return "waiting";
   if (upstream.IsCold(now)) return "cold";
@@ -31,8 +41,7 @@
 }
 
 UpstreamExplanation ExplainUpstream(const Upstream& upstream,
-                                    Duration mean_latency,
-                                    const Directory* directory, TimePoint now) {
+                                    Duration mean_latency, TimePoint now) {
   const ReplicaLoad load = upstream.CurrentLoad(mean_latency, now);
   const double slowness = static_cast<double>(load.expected_latency.count()) /
                           static_cast<double>(mean_latency.count());
@@ -41,7 +50,7 @@
           .address = record.address,
           .data_centre = record.data_centre,
           .usable = upstream.is_usable() && !load.is_backing_off,
-          .reason = ReasonFor(upstream, load, slowness, directory, now),
+          .reason = ReasonFor(upstream, load, slowness, now),
           .slowness = slowness,
           .failure_share = load.failure_share,
           .in_flight = load.in_flight,
@@ -69,8 +78,8 @@
       .extra_attempts_left = found->ExtraAttemptsLeft(now),
       .usual_us = ToMicros(found->mean_latency())};
   for (const UpstreamPtr& upstream : found->upstreams()) {
-    explanation.upstreams.push_back(ExplainUpstream(
-        *upstream, found->mean_latency(), core.directory(), now));
+    explanation.upstreams.push_back(
+        ExplainUpstream(*upstream, found->mean_latency(), now));
   }
   return explanation;
 }
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -21,7 +21,9 @@
       ramp_(options_.process_started_at),
       // Daemons must not draw the same lots.
       gate_({.random_seed = static_cast<std::uint64_t>(
-                 BootClock::now().time_since_epoch().count())}) {}
+                 BootClock::now().time_since_epoch().count())}) {
+  was_usable_ = is_usable();
+}
 
 void Upstream::Submit(AttemptPtr attempt) {
   const TimePoint now = BootClock::now();
@@ -73,14 +75,25 @@
       });
 }
 
-void Upstream::set_usable(bool usable) {
-  usable_ = usable;
-  if (!usable) FailQueue("unusable");
+std::optional<UnusableReason> Upstream::unusable_reason() const {
+  if (options_.record.draining) return UnusableReason::kDraining;
+  if (evacuated_) return UnusableReason::kEvacuated;
+  if (gate_.is_leaving()) return UnusableReason::kLeaving;
+  if (misdirected_) return UnusableReason::kMisdirected;
+  if (retired_) return UnusableReason::kRetired;
+  return std::nullopt;
+}
+
+void Upstream::ApplyUsability(std::string_view cause) {
+  const bool usable = is_usable();
+  if (std::exchange(was_usable_, usable) == usable) return;
+  if (options_.on_usability_change) options_.on_usability_change();
+  if (!usable) FailQueue(cause);
 }
 
 void Upstream::Retire() {
   retired_ = true;
-  set_usable(false);
+  ApplyUsability();
   CloseIdle("retired");
 }
 
@@ -327,7 +340,7 @@
 void Upstream::OnStatementChange(const UpstreamGate::Changes& changes,
                                  std::string_view from) {
   // Attempts that wait for a connection must not be sent either.
-  if (changes.leaving) FailQueue("leaving");
+  if (changes.leaving) ApplyUsability("leaving");
   if (changes.wait && from.empty()) FailQueue("waiting");
   if (changes.any() && options_.on_statement_change) {
     options_.on_statement_change(options_.record, gate_, changes, from);
@@ -415,12 +428,13 @@
   if (options_.on_health_change) {
     options_.on_health_change(options_.record, "replaced", "misdirected");
   }
-  FailQueue("misdirected");
+  ApplyUsability("misdirected");
   CloseIdle("misdirected");
   options_.timers->At(BootClock::now() + kMisdirectedBackoff,
                       [weak = weak_from_this()] {
                         if (const auto self = weak.lock()) {
                           self->misdirected_ = false;
+                          self->ApplyUsability();
                         }
                       });
 }
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -3,7 +3,8 @@
 //
 // Attempts are queued by priority while every connection is busy. When the
 // upstream becomes unusable, queued attempts end as kNotSent, so that their
-// sessions can start them elsewhere; attempts in flight continue.
+// sessions can start them elsewhere; attempts in flight continue. It is usable
+// again when the last of the reasons against it has ended.
 //
 // Not thread-safe: runs on the traffic thread.
 
@@ -32,6 +33,15 @@
 
 namespace lacewingknot::edge {
 
+// Why no new attempts may be sent to an upstream.
+enum class UnusableReason {
+  kDraining,     // Until its record says otherwise.
+  kEvacuated,    // Until the evacuation of its data centre ends.
+  kLeaving,      // By its own statement, for the rest of its incarnation.
+  kMisdirected,  // Another upstream answered at its address a short time ago.
+  kRetired,      // For good.
+};
+
 class Upstream : public std::enable_shared_from_this<Upstream> {
  public:
   struct Options {
@@ -51,6 +61,8 @@
     std::function<void(const UpstreamRecord& record, std::string_view health,
                        std::string_view cause)>
         on_health_change;
+    // Called when is_usable() changes, before queued attempts end.
+    std::function<void()> on_usability_change;
     std::function<void()> on_connection_opened;
     // Called when the upstream is presumed cold, by `cause`, or has stated how
     // long it is cold, for the log.
@@ -81,9 +93,16 @@
   void Abandon(const AttemptPtr& attempt);
 
   // Replaces the record by a newer one of the same incarnation.
+  // ApplyUsability() must follow.
   void UpdateRecord(UpstreamRecord record) {
     options_.record = std::move(record);
   }
+  // Sets whether the upstream's data centre is evacuated. ApplyUsability() must
+  // follow.
+  void set_evacuated(bool evacuated) { evacuated_ = evacuated; }
+  // Applies a change of is_usable() since the last call: queued attempts of an
+  // upstream that has become unusable end as kNotSent with `cause`.
+  void ApplyUsability(std::string_view cause = "unusable");
   // Sets this daemon's share of the connections that the upstream accepts.
   void set_connection_share(std::int64_t share) { ramp_.set_limit(share); }
   // Sets this daemon's share of a rate that the upstream states.
@@ -116,12 +135,10 @@
                 TimePoint now);
   // Applies what this daemon has learnt of this incarnation before.
   void Restore(const StatementTable::Known& known, TimePoint now);
-  // Sets whether new attempts may be sent here; false ends the queued ones as
-  // kNotSent.
-  void set_usable(bool usable);
-  bool is_usable() const {
-    return usable_ && !misdirected_ && !gate_.is_leaving();
-  }
+  // The first reason that holds, in the order of UnusableReason; empty if new
+  // attempts may be sent here.
+  std::optional<UnusableReason> unusable_reason() const;
+  bool is_usable() const { return !unusable_reason(); }
 
   // Closes idle connections now and busy ones when their exchange ends.
   void Retire();
@@ -199,7 +216,8 @@
   std::size_t CountInState(UpstreamConnection::State state) const;
 
   Options options_;
-  bool usable_ = true;
+  bool was_usable_ = true;  // When it was last applied.
+  bool evacuated_ = false;
   bool retired_ = false;
   bool was_preconnected_ = false;
   bool misdirected_ = false;  // Another upstream answers at the address.
