Clients that do not read their answers no longer hold memory without end

Cause: the rest of an answer was kept until the client read it, without a limit in time or, over all clients, in bytes.

A client that reads nothing of its answer for the idle timeout is closed. Unread bytes have a budget; an answer that exceeds its share of it closes its connection. The close is a reset, so that the kernel does not keep the bytes either. E1211 with from=client, and a metric.

--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -1,6 +1,8 @@
 #include "lacewingknot/edge/client_connection.h"
 
-#include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
@@ -25,6 +27,14 @@
 // can serve them at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 
+// Returns the bytes in the socket's send queue that the peer has not received.
+int QueuedBytes(asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  // On failure the queue counts as unchanged.
+  (void)ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
+  return bytes;
+}
+
 std::string RetryAfterHeader(Duration after) {
   std::array<char, 48> text{};
   const int size =
@@ -97,7 +107,9 @@
 
 Duration ClientConnection::AwaitLimit() const {
   const ClientLimits client_limits = limits();
-  return reader_ ? client_limits.header_timeout : client_limits.idle_timeout;
+  const bool reads_request = reader_ && unwritten_.empty();
+  return reads_request ? client_limits.header_timeout
+                       : client_limits.idle_timeout;
 }
 
 void ClientConnection::AwaitClient() {
@@ -120,12 +132,21 @@
     Close();
     return;
   }
-  if (has_request_) return;
+  if (has_request_ && unwritten_.empty()) return;
   const Duration waited = BootClock::now() - awaiting_since_;
   if (waited < AwaitLimit()) {  // The limit was raised meanwhile.
     ArmTimer(AwaitLimit() - waited);
     return;
   }
+  if (!unwritten_.empty()) {
+    // The socket takes more bytes only once much of its queue has been read.
+    if (QueuedBytes(socket_) < queued_bytes_) {
+      AwaitProgress();
+    } else {
+      CloseUnread("client_not_reading");
+    }
+    return;
+  }
   if (reader_) {
     // A request that was not read completely has not run.
     Reject(kStatusRequestTimeout, "request_not_read_in_time");
@@ -288,16 +309,55 @@
     OnWritten();
     return;
   }
-  auto rest = std::make_shared<std::string>(bytes.substr(written));
-  asio::async_write(socket_, asio::buffer(*rest),
-                    [self = shared_from_this(), rest](
-                        boost::system::error_code write_error, std::size_t) {
-                      if (write_error) {
-                        self->Close();
-                      } else {
-                        self->OnWritten();
-                      }
-                    });
+  held_ = AnswerBudget::Reservation(options_.core->unread_budget());
+  if (!held_.TryGrow(bytes.size() - written)) {
+    CloseUnread("client_unread_budget");
+    return;
+  }
+  unwritten_ = bytes.substr(written);
+  unwritten_begin_ = 0;
+  AwaitProgress();
+  WriteUnwritten();
+}
+
+void ClientConnection::AwaitProgress() {
+  queued_bytes_ = QueuedBytes(socket_);
+  AwaitClient();
+}
+
+void ClientConnection::WriteUnwritten() {
+  socket_.async_write_some(
+      asio::buffer(unwritten_) + unwritten_begin_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t written) {
+        if (self->is_closed_) return;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->unwritten_begin_ += written;
+        if (self->unwritten_begin_ < self->unwritten_.size()) {
+          self->AwaitProgress();
+          self->WriteUnwritten();
+          return;
+        }
+        self->unwritten_ = {};
+        self->held_ = {};
+        self->OnWritten();
+      });
+}
+
+void ClientConnection::CloseUnread(std::string_view cause) {
+  LogEvent(Event::kAnswerDropped,
+           {{"from", "client"},
+            {"cause", cause},
+            {"bytes", unwritten_.size() - unwritten_begin_},
+            {"held_bytes", options_.core->unread_budget()->held_bytes()}});
+  options_.core->metrics().OnAnswerDropped(cause);
+  // The kernel would keep the bytes in its buffer after a close.
+  boost::system::error_code ignored;  // The socket is closed either way.
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
 }
 
 void ClientConnection::OnWritten() {
@@ -343,6 +403,7 @@
 void ClientConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
+  held_ = {};
   options_.core->timers().Cancel(timer_);
   boost::system::error_code ignored;  // A failed close cannot be handled.
   socket_.close(ignored);
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -5,6 +5,9 @@
 // noticed; only kMaxPipelinedBytes in the buffer pause reading. Keeps itself
 // alive while an operation is outstanding.
 //
+// A client that reads nothing of its answer for the idle timeout is closed, and
+// so is one whose unread answer does not fit into EdgeCore::unread_budget().
+//
 // The limits on what a client may send are those in force when a request
 // begins to arrive. A timeout that operators raise meanwhile is extended.
 //
@@ -67,7 +70,13 @@
   void Reject(int status, std::string_view cause);
   void OnAnswer(const ClientAnswer& answer);
   void Write(std::string bytes);
+  // Writes `unwritten_` as the client reads.
+  void WriteUnwritten();
   void OnWritten();
+  // Waits for the client to read some of its answer.
+  void AwaitProgress();
+  // Closes the connection of a client that does not read its answer.
+  void CloseUnread(std::string_view cause);
   void Linger();
   void OnTimeout();
   void ArmTimer(Duration after);
@@ -86,6 +95,10 @@
   std::shared_ptr<RequestSession> session_;
   bool has_request_ = false;  // A request runs or its answer is being written.
   bool is_reading_ = false;
+  std::string unwritten_;            // The rest of an answer.
+  std::size_t unwritten_begin_ = 0;  // Bytes of it that have been written.
+  AnswerBudget::Reservation held_;   // For `unwritten_`.
+  int queued_bytes_ = 0;  // In the socket's send queue after the last write.
   bool is_closed_ = false;
   bool is_lingering_ = false;  // Waits only for the client to close.
   bool keep_alive_ = true;
