The budgets of answer bytes fit into the smallest VM at worst

Cause: two budgets of 26 MB, whose strings may take twice their bytes, came to more than a VM of 128 MB leaves beside the process (by calculation).

Each is 17 MB now, which half of still takes the largest answer. So that many endless answers leave room for ordinary ones, an answer's share falls with the square of what the others leave free.

Evidence: AnswerBudgetTest plays 100 endless answers beside one of 100 kB, 50 times.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -26,6 +26,11 @@
 constexpr double kMeanLatencyWeight = 0.01;
 constexpr int kMaxSampleFactor = 3;
 
+// Of each budget. Both, and the growth of strings in them, fit into the
+// smallest VM; one answer of the largest size fits into each.
+constexpr AnswerBudget::Options kHeldBytesLimits{.total_bytes = 17 << 20,
+                                                 .divisor = 2};
+
 std::string ToOneDecimal(double number) {
   std::ostringstream text;
   text << std::fixed << std::setprecision(1) << number;
@@ -70,6 +75,8 @@
 EdgeCore::EdgeCore(Options options)
     : options_(std::move(options)),
       timers_(*options_.io),
+      answer_budget_(std::make_shared<AnswerBudget>(kHeldBytesLimits)),
+      unread_budget_(std::make_shared<AnswerBudget>(kHeldBytesLimits)),
       relays_({.io = options_.io,
                .timers = &timers_,
                .data_centre = options_.data_centre,
--- a/lacewingknot/policy/answer_budget.h
+++ b/lacewingknot/policy/answer_budget.h
@@ -28,8 +28,8 @@
  public:
   struct Options {
     std::size_t total_bytes = 26 << 20;
-    // One answer may hold the bytes that other answers leave free, divided by
-    // this.
+    // An answer alone may hold `total_bytes` divided by this; beside others,
+    // less in proportion to the square of the share that they leave free.
     std::size_t divisor = 3;
     // Every answer may hold this many bytes, even beyond `total_bytes`.
     std::size_t guaranteed_bytes = 16 << 10;
--- a/lacewingknot/policy/answer_budget_test.cc
+++ b/lacewingknot/policy/answer_budget_test.cc
@@ -9,7 +9,7 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::size_t kTotalBytes = 26 << 20;
+constexpr std::size_t kTotalBytes = 17 << 20;
 constexpr std::size_t kMaxAnswerBytes = 8 << 20;
 constexpr std::size_t kStepBytes = 4'096;
 
@@ -31,8 +31,8 @@
     return answers;
   }
 
-  std::shared_ptr<AnswerBudget> budget_ =
-      std::make_shared<AnswerBudget>(AnswerBudget::Options{});
+  std::shared_ptr<AnswerBudget> budget_ = std::make_shared<AnswerBudget>(
+      AnswerBudget::Options{.total_bytes = kTotalBytes, .divisor = 2});
 };
 
 // Guards against a budget that cuts the largest answer of a calm process.
