--- a/lacewingknot/edge/endless_answer_test.cc
+++ b/lacewingknot/edge/endless_answer_test.cc
@@ -217,6 +217,10 @@
   const TimePoint end = BootClock::now() + milliseconds(1'500);
   RunAndMeasureUntil([&] { return BootClock::now() >= end; });
   EXPECT_LE(HeapGrowth(), kMaxHeapGrowth);
+  const auto connected =
+      std::count_if(relays.begin(), relays.end(),
+                    [](const auto& relay) { return relay->sent() > 0; });
+  EXPECT_GE(connected, 6);
 }
 
 }  // namespace
