A status that promises "not run" needs the upstream's word for it

Callers that sent a request which may run at most once got an upstream's 408, 429 or 503 unchanged, also when the upstream had not stated that the request did not run. These statuses promise that it has not run and never will; clients repeat the request upon them, so it could run twice.

Cause: PassSession passed every signed or failed answer on. Only an answer that bears the header for "not run", or 421, proves that nothing ran; an upstream may also give these statuses after the work began.

Such an answer now ends as 502 of our own, which promises nothing, without the upstream's signature (a failure with the signature must have the upstream's status), body, or Retry-After. The log's cause is not_run_unconfirmed. Idempotent requests get the upstream's answer unchanged as before: for them the promise has no consequence, and unchanged answers are what the platform asks for. 421 never gets here: it counts as not run by itself, and ends as a 503 of our own.

--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -125,22 +125,32 @@
   Finish({.status = kStatusBadGateway}, "failed", last_cause_);
 }
 
+std::string_view PassSession::WithheldAnswerCause(
+    const UpstreamReply& reply) const {
+  // A success without a signature or without this request's id does not prove
+  // that the request ran.
+  if (IsSuccessStatus(reply.status) && !IsPartOf(outbound(), reply)) {
+    return "answer_unsigned";
+  }
+  if (spec().retry_policy == RetryPolicy::kAtMostOnce &&
+      StatesNotRun(reply.status)) {
+    return "not_run_unconfirmed";
+  }
+  return {};
+}
+
 void PassSession::OnAnswer(AttemptResult result, TimePoint now) {
   UpstreamReply& reply = result.reply;
   ++runs_;
   const bool is_success = reply.status < kFirstServerErrorStatus;
-  // A success without a signature or without this request's id does not prove
-  // that the request ran.
-  const bool is_unsigned_success =
-      IsSuccessStatus(reply.status) &&
-      (reply.signature.empty() || reply.request_id != request().request_id);
-  if (!is_success || is_unsigned_success) {
-    last_cause_ = is_unsigned_success ? "answer_unsigned" : "upstream_failed";
+  const std::string_view withheld_cause = WithheldAnswerCause(reply);
+  if (!is_success || !withheld_cause.empty()) {
+    last_cause_ = withheld_cause.empty() ? "upstream_failed" : withheld_cause;
     if (CanRunAgain() && now < deadline() &&
         StartAttempt(AttemptKind::kRetry, now)) {
       return;
     }
-    if (is_unsigned_success) {
+    if (!withheld_cause.empty()) {
       Finish({.status = kStatusBadGateway}, "failed", last_cause_);
       return;
     }
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -1,8 +1,12 @@
 // A request that is passed on to one upstream.
 //
-// The upstream's answer is passed back unchanged. Once a byte of the request
-// may have been sent, the request is retried only if it is idempotent or the
-// upstream states that it did not run it.
+// The upstream's answer is passed back unchanged, with two exceptions that end
+// as kStatusBadGateway: a success that is not signed, and a status that would
+// tell the client that its request, which may run at most once, has not run
+// although the upstream does not state that.
+//
+// Once a byte of the request may have been sent, the request is retried only if
+// it is idempotent or the upstream states that it did not run it.
 //
 // Not thread-safe: runs on the traffic thread.
 
@@ -44,6 +48,8 @@
   void OnResult(const AttemptPtr& attempt, AttemptKind kind,
                 AttemptResult result);
   void OnAnswer(AttemptResult result, TimePoint now);
+  // Why `reply` must not be passed back, for the log; empty if it may be.
+  std::string_view WithheldAnswerCause(const UpstreamReply& reply) const;
   // Whether another attempt is safe: the request cannot have run, or it is
   // idempotent and has attempts left.
   bool CanRunAgain() const;
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -42,6 +42,15 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
+// Whether `status` tells the client that its request has not run and will not
+// run. The edge gives such a status to a request that may run at most once only
+// if it knows that.
+constexpr bool StatesNotRun(int status) {
+  constexpr int kTooManyRequests = 429;
+  return status == kStatusRequestTimeout || status == kMisdirectedStatus ||
+         status == kTooManyRequests || status == kStatusUnavailable;
+}
+
 using AnswerCallback = std::function<void(const ClientAnswer&)>;
 
 class RequestSession : public std::enable_shared_from_this<RequestSession> {
