Messages whose end is not certain are refused, and their connection closed

A client's body with `Transfer-Encoding: identity` (or any coding but chunked) and no length was taken for the next request on its connection, so bytes of a body could be run as a request. Of upstreams' answers, such a body was passed on in its coded form, without the header that named the coding.

Cause: Boost.Beast's parser ignores transfer codings that it does not know, and "chunked" that is not the last or only one; a request then has no body, an answer ends with its connection. By running the table tests, these were accepted for requests and answers alike: identity, gzip, an empty value, identity beside a length, "chunked, identity", "chunked, chunked", identity and chunked in two lines, "gzip, chunked" (the coded body was passed on), "chunked;q=1", "chunked identity", a quoted "chunked", chunked in HTTP/1.0, and a bare line feed in a chunk extension. Fields of a trailer were taken for headers: they were forwarded, and one could replace the request's id or state that a request did not run. The parser itself refuses differing, malformed and overflowing lengths, lengths beside chunked, malformed chunk sizes, bare CR and LF in the head, and blanks before the colon. Equal lengths are accepted as one, and folded lines are joined, as RFC 9112 (6.3, 5.2) permits.

Both readers now accept only "chunked", from HTTP/1.1 on, refuse line feeds in chunk extensions and drop trailers. They do so while the header field is parsed, where an error always ends the parser. Requests get 400 (E1307 cause=body_end_unknown), or 501 if chunked comes last after a coding that the tier does not decode (cause=unknown_transfer_coding; RFC 9112, 6.1 and 6.3); a new counter has the cause. An answer is a lost attempt (malformed_answer); a status below 100, which could not be passed on as an answer, is one too.

--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -202,6 +202,10 @@
     Reject(kStatusHeadersTooLarge, "headers_too_large");
   } else if (error == http::error::body_limit) {
     Reject(kStatusBodyTooLarge, "body_too_large");
+  } else if (error == UnknownCodingError()) {
+    Reject(kStatusNotImplemented, "unknown_transfer_coding");
+  } else if (IsFramingError(error)) {
+    Reject(kStatusBadRequest, "body_end_unknown");
   } else {
     Reject(kStatusBadRequest, "malformed_request");
   }
@@ -215,6 +219,7 @@
             {"cause", cause},
             {"config", routes ? routes->table->version() : std::uint64_t{0}}});
   options_.core->metrics().OnRequest("none", "rejected", Duration::zero());
+  options_.core->metrics().OnRejection(cause);
   has_request_ = true;
   keep_alive_ = false;
   OnAnswer({.status = status});
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -29,6 +29,10 @@
                            .Name("lacewingknot_edge_request_seconds")
                            .Help("From reading a request to its answer.")
                            .Register(*registry_)),
+      rejections_(prometheus::BuildCounter()
+                      .Name("lacewingknot_edge_rejected_requests_total")
+                      .Help("Requests that could not be read, by cause.")
+                      .Register(*registry_)),
       hedges_denied_(prometheus::BuildCounter()
                          .Name("lacewingknot_edge_hedges_denied_total")
                          .Help("Extra attempts that were not sent, by reason.")
@@ -140,6 +144,10 @@
       .Observe(Seconds(latency));
 }
 
+void EdgeMetrics::OnRejection(std::string_view cause) {
+  rejections_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void EdgeMetrics::OnAttempt(AttemptKind kind, AttemptEnd end,
                             Duration latency) {
   const auto kind_index = static_cast<std::size_t>(kind);
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -35,6 +35,8 @@
   // `outcome`: complete, partial, refused, failed or abandoned.
   void OnRequest(std::string_view route, std::string_view outcome,
                  Duration latency);
+  // Counts a request that was rejected before it had been read.
+  void OnRejection(std::string_view cause);
   void OnAttempt(AttemptKind kind, AttemptEnd end, Duration latency);
   // Counts an attempt that was delegated to a relay, by its outcome.
   void OnRelayed(AttemptEnd end);
@@ -73,6 +75,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& request_seconds_;
+  prometheus::Family<prometheus::Counter>& rejections_;
   // Indexed by kind, then by end. Looked up only once, because every attempt is
   // counted here.
   std::array<std::array<prometheus::Counter*, kAttemptEndCount>,
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -63,8 +63,40 @@
   return kept;
 }
 
+constexpr int kHttp11 = 11;
+
+// Returns the error of a message with the Transfer-Encoding header `value`.
+// Earlier versions than HTTP/1.1 have no transfer codings.
+boost::system::error_code CheckTransferCoding(string_view value, int version) {
+  if (version >= kHttp11 && iequals(value, "chunked")) return {};
+  const http::opt_token_list codings(value);
+  std::size_t chunked_count = 0;
+  bool is_chunked_last = false;
+  for (const string_view coding : codings) {
+    is_chunked_last = iequals(coding, "chunked");
+    if (is_chunked_last) ++chunked_count;
+  }
+  if (version >= kHttp11 && http::validate_list(codings) && is_chunked_last &&
+      chunked_count == 1) {
+    return UnknownCodingError();
+  }
+  return http::error::bad_transfer_encoding;
+}
+
 }  // namespace
 
+bool IsFramingError(boost::system::error_code error) {
+  return error == http::error::bad_transfer_encoding ||
+         error == http::error::bad_content_length ||
+         error == http::error::bad_chunk ||
+         error == http::error::bad_chunk_extension;
+}
+
+boost::system::error_code UnknownCodingError() {
+  return boost::system::errc::make_error_code(
+      boost::system::errc::not_supported);
+}
+
 bool IsHopByHop(http::field field) {
   switch (field) {
     case http::field::connection:
@@ -86,14 +118,20 @@
 
 void ClientRequestReader::on_request_impl(http::verb /*method*/,
                                           string_view method_text,
-                                          string_view target, int /*version*/,
+                                          string_view target, int version,
                                           error_code& /*error*/) {
+  version_ = version;
   request_.method = ToString(method_text);
   request_.target = ToString(target);
 }
 
 void ClientRequestReader::on_field_impl(field name, string_view name_text,
                                         string_view value, error_code& error) {
+  if (is_in_trailer()) return;
+  if (name == field::transfer_encoding) {
+    error = CheckTransferCoding(value, version_);
+    return;
+  }
   if (name == field::host) {
     // With a second Host header the route would be ambiguous.
     if (!request_.host.empty()) error = http::error::bad_field;
@@ -141,15 +179,21 @@
 }
 
 void UpstreamReplyReader::on_response_impl(int status, string_view reason,
-                                           int /*version*/,
-                                           error_code& /*error*/) {
+                                           int version, error_code& error) {
+  constexpr int kLowestStatus = 100;
+  if (status < kLowestStatus) error = http::error::bad_status;
+  version_ = version;
   reply_.status = status;
   if (collect_headers_) reply_.reason = ToString(reason);
 }
 
 void UpstreamReplyReader::on_field_impl(field name, string_view name_text,
-                                        string_view value,
-                                        error_code& /*error*/) {
+                                        string_view value, error_code& error) {
+  if (is_in_trailer()) return;
+  if (name == field::transfer_encoding) {
+    error = CheckTransferCoding(value, version_);
+    return;
+  }
   if (name == field::keep_alive) {
     const auto at = value.find("timeout=");
     if (at == string_view::npos) return;
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -2,7 +2,11 @@
 //
 // Both extend Boost.Beast's parser and keep only the headers that the tier
 // needs, so that a small response does not cost an allocation per header.
-// Hop-by-hop headers are not forwarded.
+// Hop-by-hop headers and trailers are not forwarded.
+//
+// A message whose end is not certain (RFC 9112, section 6) ends with an error:
+// the parser refuses lengths that differ or stand beside a transfer coding, and
+// malformed chunks; the readers refuse transfer codings other than "chunked".
 //
 // Not thread-safe.
 
@@ -60,6 +64,13 @@
 // because the sender writes its own value.
 bool IsHopByHop(boost::beast::http::field field);
 
+// Whether `error`, of a reader, means that the end of a message is not certain.
+bool IsFramingError(boost::system::error_code error);
+
+// The error of a request that ends with "chunked" but has other transfer
+// codings, which the tier does not decode.
+boost::system::error_code UnknownCodingError();
+
 // Common base of both readers: collects the whole body, chunked or not.
 template <bool is_request>
 class MessageReader : public boost::beast::http::basic_parser<is_request> {
@@ -71,6 +82,9 @@
   // The string to which the body is appended.
   virtual std::string& body() = 0;
 
+  // Whether the field that is being read belongs to the trailer.
+  bool is_in_trailer() const { return this->is_header_done(); }
+
   // Each reader overrides the function for its own kind of message.
   void on_request_impl(boost::beast::http::verb /*method*/,
                        string_view /*method_text*/, string_view /*target*/,
@@ -82,8 +96,14 @@
     body().append(bytes.data(), bytes.size());
     return bytes.size();
   }
-  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
-                            error_code& /*error*/) final {}
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view extensions,
+                            error_code& error) final {
+    // Others may take a bare line feed in a quoted value for the end of the
+    // line.
+    if (extensions.find('\n') != string_view::npos) {
+      error = boost::beast::http::error::bad_chunk_extension;
+    }
+  }
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes,
                                  error_code& error) final {
     return on_body_impl(bytes, error);
@@ -111,6 +131,7 @@
 
   const HeaderNames& names_;
   ClientRequest request_;
+  int version_ = 0;                // As the parser gives it: 11 for HTTP/1.1.
   std::string connection_tokens_;  // Value of the Connection headers.
 };
 
@@ -137,6 +158,7 @@
   const HeaderNames& names_;
   const bool collect_headers_;
   UpstreamReply reply_;
+  int version_ = 0;  // As the parser gives it: 11 for HTTP/1.1.
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -37,6 +37,7 @@
 inline constexpr int kStatusRequestTimeout = 408;
 inline constexpr int kStatusBodyTooLarge = 413;
 inline constexpr int kStatusHeadersTooLarge = 431;
+inline constexpr int kStatusNotImplemented = 501;
 inline constexpr int kStatusBadGateway = 502;
 // The request has not run and will not run.
 inline constexpr int kStatusUnavailable = 503;
