A daemon that is told to stop while it starts stops gracefully

Cause: the signals were blocked only once the settings had been read and logging was set up; until then their default action ended the process.

Now main() blocks them first. One that arrives during the start stays pending until the daemon waits for signals, and starts the same drain as later ones.

Evidence: whole_process.stop_during_start holds both roles where they read their settings and sends SIGTERM there.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -43,7 +43,8 @@
 }
 
 // Blocks the handled signals before any thread starts, so that every thread
-// inherits the mask and only sigwait receives them.
+// inherits the mask and only sigwait receives them. One that arrives during the
+// start stays pending until then.
 sigset_t BlockSignals() {
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -89,12 +90,11 @@
   }
 }
 
-int RunQueryDaemon(const std::string& path) {
+int RunQueryDaemon(const std::string& path, const sigset_t& signals) {
   const auto parsed = lacewingknot::ParseDaemonSettings(ReadFile(path));
   PrintFaults(path, parsed.faults);
   if (!parsed.faults.empty()) return kExitUsage;
   lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
-  const sigset_t signals = BlockSignals();
   lacewingknot::StartLogWriter();
   lacewingknot::Daemon daemon(parsed.settings);
   if (const auto started = daemon.Start(); !started) {
@@ -120,12 +120,11 @@
   if (parsed.faults.empty()) daemon.Reload(parsed.settings);
 }
 
-int RunEdgeDaemon(const std::string& path) {
+int RunEdgeDaemon(const std::string& path, const sigset_t& signals) {
   const auto parsed = lacewingknot::edge::ParseEdgeSettings(ReadFile(path));
   PrintFaults(path, parsed.faults);
   if (!parsed.faults.empty()) return kExitUsage;
   lacewingknot::ConfigureLogging(parsed.settings.log_level, parsed.settings.vm);
-  const sigset_t signals = BlockSignals();
   lacewingknot::StartLogWriter();
   for (const std::string& key : parsed.ignored) {
     LogEvent(Event::kSettingsKeyIgnored, {{"file", path}, {"key", key}});
@@ -171,6 +170,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  const sigset_t signals = BlockSignals();
   try {
     TCLAP::CmdLine command("lacewingknotd: query tier daemon", ' ', "0.1.0");
     command.setExceptionHandling(false);
@@ -183,8 +183,8 @@
         "settings tree.",
         command);
     command.parse(argc, argv);
-    return edge.getValue() ? RunEdgeDaemon(settings.getValue())
-                           : RunQueryDaemon(settings.getValue());
+    return edge.getValue() ? RunEdgeDaemon(settings.getValue(), signals)
+                           : RunQueryDaemon(settings.getValue(), signals);
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
--- a/testing/whole_process_test.sh
+++ b/testing/whole_process_test.sh
@@ -117,6 +117,36 @@
     expect "requests cut" "$(jq '.failures.no_reply // 0' <<<"$result")" -eq 0
     expect "requests answered" "$(jq '.whole + .partial + .failed' <<<"$result")" -eq 100
     ;;
+  stop_during_start)
+    # Guards against a process that a signal ends before it handles signals. A
+    # FIFO holds it where it reads its settings.
+    fleet_files glenbracken 1 22000
+    cat >"$FLEET_DIR/edge.toml" <<'END'
+vm = "vm-0"
+data_centre = "here"
+listen = "127.0.0.1:22010"
+readiness_listen = "127.0.0.1:22011"
+control_listen = "127.0.0.1:22012"
+gossip_listen = "127.0.0.1:22013"
+peers = ["127.0.0.1:22012"]
+store = "127.0.0.1:9"
+[stop]
+grace_seconds = 6
+END
+    mkfifo "$FLEET_DIR/settings.fifo"
+    for settings in vm-0 edge; do
+      role=()
+      [ "$settings" = edge ] && role=(--edge)
+      "$BIN/lacewingknotd" "${role[@]}" -s "$FLEET_DIR/settings.fifo" >/dev/null &
+      daemon=$!
+      exec 3>"$FLEET_DIR/settings.fifo"  # Waits until the process reads.
+      kill -TERM "$daemon"
+      cat "$FLEET_DIR/$settings.toml" >&3
+      exec 3>&-
+      wait "$daemon"
+      expect "exit status with $settings" $? -eq 0
+    done
+    ;;
   platform_down_and_stale)
     fleet_start glenbracken 3 22000 --warm
     fleet_wait_ready
