Removals are held within one budget, and only on evidence of an outage

Cause: many removals within 1.5 s were taken for an outage that this daemon had not seen, and each further one was held for 2.5 s. Entries that had said `draining` counted, so planned work on one service held back the removals of another; and the hold was added to the reader's pause of up to 1.2 s.

Now policy/removal_hold.h decides for each removal: entries that had said `draining` leave at once and count for nothing; a storm is still held, but pause, delivery, hold and sending together stay within `upstream_drain_ms` (new setting, from the users' drain_ms).

Red before: with OnSourceAsked() stubbed on the code before, DirectoryStateTest.Entries_DrainingOnesRemoved_HoldBackNoOther and Entries_ManyRemovedAfterPause_AreGoneWithinDrain fail, as the upstreams are still listed.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -156,7 +156,8 @@
       .fleet_size = [&] { return daemon.fleet_size(); },
       .is_sentinel = [&] { return daemon.is_sentinel(); },
       .max_staleness = parsed.settings.store_max_staleness,
-      .max_apply_delay = parsed.settings.changes_in_force});
+      .max_apply_delay = parsed.settings.changes_in_force,
+      .removal_budget = {.drain = parsed.settings.upstream_drain}});
   if (const auto started = daemon.Start(); !started) {
     LogEvent(Event::kDaemonFailed, {{"detail", started.error().detail}});
     lacewingknot::FlushLog(std::chrono::seconds(1));
--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -38,19 +38,24 @@
   entry.revision = revision;
   entry.is_relisted = true;
   if (entry.remove_at) return;
-  entry.remove_at = now;
-  if (outage_ended_at_) {
-    entry.remove_at =
-        std::max(now, *outage_ended_at_ + kRemovalDelayAfterOutage);
-  }
-  if (*entry.remove_at > now) return;
+  RemovalEvidence evidence{.was_draining = entry.record.draining,
+                           .outage_ended_at = outage_ended_at_,
+                           .pause = pause_};
+  entry.remove_at = RemovalTime(evidence, budget_, now);
+  if (evidence.was_draining || *entry.remove_at > now) return;
+  evidence.is_storm = CountRemoval(now);
+  entry.remove_at = RemovalTime(evidence, budget_, now);
+}
+
+bool DirectoryState::CountRemoval(TimePoint now) {
   std::erase_if(removal_times_,
                 [&](TimePoint at) { return now - at > kMassRemovalWindow; });
   removal_times_.push_back(now);
-  if (static_cast<double>(removal_times_.size()) >
-      kMassRemovalShare * static_cast<double>(entries_.size())) {
-    entry.remove_at = now + kRemovalDelayAfterOutage;
-  }
+  const auto in_use = std::count_if(
+      entries_.begin(), entries_.end(),
+      [](const auto& entry) { return !entry.second.record.draining; });
+  return static_cast<double>(removal_times_.size()) >
+         kMassRemovalShare * static_cast<double>(in_use);
 }
 
 void DirectoryState::BeginListing() {
@@ -91,6 +96,10 @@
              changed_;
 }
 
+void DirectoryState::OnSourceAsked(TimePoint now) {
+  pause_ = now - confirmed_at_;
+}
+
 void DirectoryState::OnSourceLost(TimePoint now) {
   if (!lost_since_) lost_since_ = now;
 }
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -3,11 +3,12 @@
 //
 // Entries expire in the store when their owners cannot renew them. This also
 // happens when only the store was unavailable and the upstream kept serving. A
-// removal that arrives just after an outage is therefore deferred by
-// kRemovalDelayAfterOutage; an upstream that is not registered again by then is
-// removed. At other times a removal takes effect immediately, unless a large
-// share of the directory is removed within a short time: that indicates an
-// outage of the store that this daemon did not notice.
+// removal that arrives just after an outage
+// is therefore deferred (policy/removal_hold.h); an upstream that is not
+// registered again by then is removed. At other times a removal takes effect
+// immediately, unless a large share of the directory is removed within a short
+// time: that indicates an outage that no daemon has reported. Entries that had
+// said `draining` leave at once and do not count for that share.
 //
 // Deterministic: takes the time as an argument and does no I/O. Not
 // thread-safe.
@@ -28,18 +29,19 @@
 #include <vector>
 
 #include "lacewingknot/edge/upstream_directory.h"
+#include "lacewingknot/policy/removal_hold.h"
 
 namespace lacewingknot::edge {
 
 class DirectoryState {
  public:
-  // Live upstreams register again within about two seconds after the store
-  // recovers; the remaining time covers this daemon's delay in reading them.
-  static constexpr Duration kRemovalDelayAfterOutage =
-      std::chrono::milliseconds(2'500);
+  // Longest time for which a removal is deferred.
+  static constexpr Duration kRemovalDelayAfterOutage = kHoldAfterOutage;
   // No entry expires during a shorter loss of the source.
   static constexpr Duration kMinOutage = std::chrono::milliseconds(1'000);
 
+  explicit DirectoryState(const RemovalBudget& budget = {}) : budget_(budget) {}
+
   // Applies a value or a removal of an entry at `revision`. Ignored if a later
   // revision of the same entry is known.
   void Put(UpstreamRecord record, std::uint64_t revision);
@@ -62,6 +64,9 @@
   // Applies a full listing of the evacuated data centres.
   void EndUnlistedEvacuations(const std::set<std::string>& data_centres);
 
+  // Records that the source is asked for changes: those that its answer brings
+  // were confirmed after its previous answer.
+  void OnSourceAsked(TimePoint now);
   // Records that the source stopped answering, or answered and thereby
   // confirmed the revision `confirmed`.
   void OnSourceLost(TimePoint now);
@@ -82,12 +87,16 @@
   Directory Snapshot() const;
 
  private:
-  // Share of the directory that may be removed within kMassRemovalWindow with
-  // immediate effect.
+  // Share of the entries in use that may be removed within kMassRemovalWindow
+  // with immediate effect.
   static constexpr double kMassRemovalShare = 0.3;
   static constexpr Duration kMassRemovalWindow =
       std::chrono::milliseconds(1'500);
 
+  // Whether the removals of the last moment are too many for one cause other
+  // than an outage. Counts one more, at `now`.
+  bool CountRemoval(TimePoint now);
+
   struct Entry {
     UpstreamRecord record;
     std::uint64_t revision = 0;
@@ -95,6 +104,7 @@
     std::optional<TimePoint> remove_at;
   };
 
+  RemovalBudget budget_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::uint64_t> removal_revisions_;
   std::set<std::string> evacuated_;
@@ -102,6 +112,8 @@
   std::optional<TimePoint> lost_since_;
   std::vector<TimePoint> removal_times_;  // Within kMassRemovalWindow.
   std::optional<TimePoint> outage_ended_at_;
+  // Between the previous answer and the last call.
+  Duration pause_{};
   std::uint64_t revision_ = 0;
   TimePoint confirmed_at_{};
   bool changed_ = false;
--- a/lacewingknot/edge/directory_state_test.cc
+++ b/lacewingknot/edge/directory_state_test.cc
@@ -78,6 +78,37 @@
   EXPECT_FALSE(Contains("up-7"));
 }
 
+// Guards against requests to an upstream that has left: removals of planned
+// work, of entries that had said `draining`, were taken for an outage and held
+// back the removals of others.
+TEST_F(DirectoryStateTest, Entries_DrainingOnesRemoved_HoldBackNoOther) {
+  for (int i = 0; i < 6; ++i) {
+    UpstreamRecord record = Record("up-" + std::to_string(i));
+    record.draining = true;
+    state_.Put(record, ++revision_);
+  }
+  for (int i = 0; i < 7; ++i) {
+    state_.Remove("up-" + std::to_string(i), ++revision_, now_);
+  }
+  EXPECT_FALSE(Contains("up-5"));
+  EXPECT_FALSE(Contains("up-6"));
+}
+
+// Guards against requests to an upstream that has left: the entries of others
+// expired with its own, and the hold was added to a long pause of the reader.
+TEST_F(DirectoryStateTest, Entries_ManyRemovedAfterPause_AreGoneWithinDrain) {
+  const TimePoint confirmed = now_;
+  now_ += milliseconds(1'200);
+  state_.OnSourceAsked(now_);
+  state_.OnSourceAnswered(revision_, now_);
+  for (int i = 0; i < 8; ++i) {
+    state_.Remove("up-" + std::to_string(i), ++revision_, now_);
+  }
+  EXPECT_TRUE(Contains("up-7"));
+  now_ = confirmed + milliseconds(2'100);
+  EXPECT_FALSE(Contains("up-7"));
+}
+
 TEST_F(DirectoryStateTest, Change_OlderThanKnownRevision_IsIgnored) {
   state_.Remove("up-3", 100, now_);
   ASSERT_FALSE(Contains("up-3"));
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 16> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 17> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -22,6 +22,7 @@
                                                       "store",
                                                       "store_max_staleness_ms",
                                                       "changes_in_force_ms",
+                                                      "upstream_drain_ms",
                                                       "log_level",
                                                       "processor_share",
                                                       "disabled_mechanisms",
@@ -182,6 +183,8 @@
       settings.store_max_staleness);
   reader.ReadDuration<std::chrono::duration<double, std::milli>>(
       root, "changes_in_force_ms", 500, 60'000, settings.changes_in_force);
+  reader.ReadDuration<std::chrono::duration<double, std::milli>>(
+      root, "upstream_drain_ms", 1'500, 600'000, settings.upstream_drain);
   for (const auto& [key, node] : root) {
     if (std::find(kKnownKeys.begin(), kKnownKeys.end(), key.str()) ==
         kKnownKeys.end()) {
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -14,6 +14,7 @@
 //   store_max_staleness_ms = 4000       # max age of the view of the store
 //   changes_in_force_ms = 3000          # max delay until a store change
 //                                       # applies
+//   upstream_drain_ms = 3000            # an upstream serves after its removal
 //   disabled_mechanisms = []            # names of policy/mechanisms.h
 //   [extra_load]                        # limits of the fleet for a service
 //   ratio = 0.2
@@ -56,6 +57,7 @@
   std::string store;
   Duration store_max_staleness = std::chrono::milliseconds(4'000);
   Duration changes_in_force = std::chrono::milliseconds(3'000);
+  Duration upstream_drain = std::chrono::milliseconds(3'000);
   LogLevel log_level = LogLevel::kInfo;
   double processor_share = 1;
   double extra_ratio = 0.1;
--- a/lacewingknot/edge/edge_settings_test.cc
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -17,6 +17,7 @@
 store = "10.200.1.7:8102"
 store_max_staleness_ms = 5000
 changes_in_force_ms = 5000
+upstream_drain_ms = 4000
 processor_share = 0.12
 log_level = "warning"
 disabled_mechanisms = ["hedging", "relays"]
@@ -48,6 +49,7 @@
   EXPECT_EQ(parsed.settings.stop_grace, std::chrono::seconds(6));
   EXPECT_EQ(parsed.settings.store_max_staleness, std::chrono::seconds(5));
   EXPECT_EQ(parsed.settings.changes_in_force, std::chrono::seconds(5));
+  EXPECT_EQ(parsed.settings.upstream_drain, std::chrono::seconds(4));
   EXPECT_DOUBLE_EQ(parsed.settings.processor_share, 0.12);
   EXPECT_EQ(MechanismNames(parsed.settings.disabled_mechanisms),
             "hedging,relays");
--- /dev/null
+++ b/lacewingknot/policy/removal_hold_test.cc
@@ -0,0 +1,85 @@
+// Plays removals and outages of the store in virtual time.
+
+#include "lacewingknot/policy/removal_hold.h"
+
+#include <gtest/gtest.h>
+
+#include "lacewingknot/policy/change_coalescing.h"
+
+namespace lacewingknot {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+constexpr RemovalBudget kBudget;
+
+Duration ReaderPause() {
+  return CoalescingDelay({.max_apply_delay = milliseconds(3'000)});
+}
+
+// Guards against links that fit the time one by one but not together: a pause
+// of 1.2 s and a hold of 2.5 s let requests through for 3.7 s.
+TEST(RemovalHoldTest, Links_WorstCaseOfEach_AddUpToWithinDrain) {
+  ASSERT_GT(ReaderPause(), seconds(1));
+  ASSERT_LE(ReaderPause(), LongestPause(kBudget));
+  for (Duration pause{}; pause <= LongestPause(kBudget);
+       pause += milliseconds(50)) {
+    const TimePoint confirmed = kNow - pause - kBudget.delivery;
+    for (const bool is_storm : {false, true}) {
+      const TimePoint at =
+          RemovalTime({.is_storm = is_storm, .pause = pause}, kBudget, kNow);
+      EXPECT_LE(at + kBudget.sending, confirmed + kBudget.drain);
+    }
+  }
+}
+
+// The same for a removal that was confirmed after this daemon's outage.
+TEST(RemovalHoldTest, Removal_ConfirmedAfterOutage_IsInForceInTime) {
+  for (Duration since{}; since <= seconds(4); since += milliseconds(50)) {
+    const TimePoint ended = kNow - since;
+    const Duration pause = std::min(since, ReaderPause());
+    const TimePoint at = RemovalTime(
+        {.outage_ended_at = ended, .is_storm = true, .pause = pause}, kBudget,
+        kNow);
+    const TimePoint confirmed = kNow - pause - kBudget.delivery;
+    EXPECT_LE(at + kBudget.sending,
+              std::max(confirmed + kBudget.drain,
+                       ended + kReregistrationTime + kBudget.sending));
+  }
+}
+
+TEST(RemovalHoldTest, Budget_PauseTakesAll_NothingIsHeld) {
+  const RemovalBudget budget{.drain = milliseconds(2'000)};
+  EXPECT_LT(LongestPause(budget), ReaderPause());
+  EXPECT_EQ(
+      RemovalTime({.is_storm = true, .pause = ReaderPause()}, budget, kNow),
+      kNow);
+}
+
+TEST(RemovalHoldTest, Removal_WithoutEvidence_TakesEffectAtOnce) {
+  EXPECT_EQ(RemovalTime({}, kBudget, kNow), kNow);
+  EXPECT_EQ(RemovalTime({.outage_ended_at = kNow - seconds(3)}, kBudget, kNow),
+            kNow);
+}
+
+TEST(RemovalHoldTest, Removal_OfDrainingUpstream_IsNeverHeld) {
+  EXPECT_EQ(
+      RemovalTime(
+          {.was_draining = true, .outage_ended_at = kNow, .is_storm = true},
+          kBudget, kNow),
+      kNow);
+}
+
+// Guards against dropping live upstreams whose entries expired in an outage.
+TEST(RemovalHoldTest, Removal_ReadAfterOutage_IsHeldForReregistration) {
+  EXPECT_EQ(RemovalTime({.outage_ended_at = kNow, .pause = seconds(5)}, kBudget,
+                        kNow),
+            kNow + kHoldAfterOutage);
+  EXPECT_GT(RemovalTime({.is_storm = true}, kBudget, kNow),
+            kNow + milliseconds(1'500));
+}
+
+}  // namespace
+}  // namespace lacewingknot
