The hold after an outage counts from the store's return, as peers saw it

Cause, by reading: a hold counted from when this daemon noticed the return, up to 1.7 s late, and lasted 2.5 s.

Now a daemon that has lost the store learns from peers' reports when it served them (OutageEvidence) and counts from then; if the store never failed a peer, from the peer's first answer in the outage.

Evidence: red before, with OnPeerReport() stubbed on the code before, DirectoryStateTest.Entry_RemovedWhilePeersHadStore_IsGoneInTime (still listed 600 ms after the return).

--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -100,13 +100,20 @@
   pause_ = now - confirmed_at_;
 }
 
+void DirectoryState::OnPeerReport(TimePoint unbroken_since,
+                                  TimePoint confirmed_at) {
+  outage_.OnPeerReport(unbroken_since, confirmed_at);
+}
+
 void DirectoryState::OnSourceLost(TimePoint now) {
+  outage_.OnLost(now);
   if (!lost_since_) lost_since_ = now;
 }
 
 void DirectoryState::OnSourceAnswered(std::uint64_t confirmed, TimePoint now) {
+  const TimePoint served_since = outage_.OnRegained(now);
   if (lost_since_ && now - *lost_since_ >= kMinOutage) {
-    outage_ended_at_ = now;
+    outage_ended_at_ = served_since;
   }
   lost_since_.reset();
   confirmed_at_ = now;
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -67,6 +67,9 @@
   // Records that the source is asked for changes: those that its answer brings
   // were confirmed after its previous answer.
   void OnSourceAsked(TimePoint now);
+  // Records since when the source has answered a peer without fail, and its
+  // last answer there.
+  void OnPeerReport(TimePoint unbroken_since, TimePoint confirmed_at);
   // Records that the source stopped answering, or answered and thereby
   // confirmed the revision `confirmed`.
   void OnSourceLost(TimePoint now);
@@ -111,6 +114,7 @@
   std::map<std::string, std::uint64_t> evacuation_revisions_;
   std::optional<TimePoint> lost_since_;
   std::vector<TimePoint> removal_times_;  // Within kMassRemovalWindow.
+  OutageEvidence outage_;
   std::optional<TimePoint> outage_ended_at_;
   // Between the previous answer and the last call.
   Duration pause_{};
--- a/lacewingknot/edge/directory_state_test.cc
+++ b/lacewingknot/edge/directory_state_test.cc
@@ -109,6 +109,19 @@
   EXPECT_FALSE(Contains("up-7"));
 }
 
+// Guards against a hold that counts from when this daemon regained a store that
+// had served others all along, or sooner.
+TEST_F(DirectoryStateTest, Entry_RemovedWhilePeersHadStore_IsGoneInTime) {
+  state_.OnSourceLost(now_);
+  now_ += seconds(5);
+  state_.OnPeerReport(now_ - seconds(2), now_ - seconds(1));
+  state_.OnSourceAnswered(revision_, now_);
+  state_.Remove("up-3", ++revision_, now_);
+  EXPECT_TRUE(Contains("up-3"));
+  now_ += milliseconds(600);
+  EXPECT_FALSE(Contains("up-3"));
+}
+
 TEST_F(DirectoryStateTest, Change_OlderThanKnownRevision_IsIgnored) {
   state_.Remove("up-3", 100, now_);
   ASSERT_FALSE(Contains("up-3"));
--- a/lacewingknot/policy/removal_hold.cc
+++ b/lacewingknot/policy/removal_hold.cc
@@ -34,4 +34,27 @@
   return std::max(at, now);
 }
 
+void OutageEvidence::OnLost(TimePoint now) {
+  if (lost_at_) return;
+  lost_at_ = now;
+  peer_served_at_.reset();
+}
+
+void OutageEvidence::OnPeerReport(TimePoint unbroken_since,
+                                  TimePoint confirmed_at) {
+  if (!lost_at_ || confirmed_at < *lost_at_ + kReportTolerance) return;
+  const TimePoint served_at =
+      unbroken_since > *lost_at_ ? unbroken_since : confirmed_at;
+  // A peer that the store failed after it had served another shows that the
+  // outage went on.
+  if (!peer_served_at_ || unbroken_since > *peer_served_at_) {
+    peer_served_at_ = served_at;
+  }
+}
+
+TimePoint OutageEvidence::OnRegained(TimePoint now) {
+  lost_at_.reset();
+  return std::min(now, peer_served_at_.value_or(now));
+}
+
 }  // namespace lacewingknot
--- a/lacewingknot/policy/removal_hold.h
+++ b/lacewingknot/policy/removal_hold.h
@@ -15,11 +15,17 @@
 // delivery of its answer, and the sending of an attempt that was made just
 // before.
 //
+// A daemon that the store turned away counts the time from when the store
+// served a peer again, as far as peers have told it (OutageEvidence).
+//
 // No I/O and no clock. Not thread-safe.
 //
 // Example:
-//   const TimePoint at =
-//       RemovalTime({.is_storm = true, .pause = pause}, budget, now);
+//   OutageEvidence outage;
+//   outage.OnLost(now);
+//   ...  // Peers report; the store answers again.
+//   const TimePoint at = RemovalTime(
+//       {.outage_ended_at = outage.OnRegained(now)}, budget, now);
 
 #ifndef LACEWINGKNOT_POLICY_REMOVAL_HOLD_H_
 #define LACEWINGKNOT_POLICY_REMOVAL_HOLD_H_
@@ -73,6 +79,29 @@
 TimePoint RemovalTime(const RemovalEvidence& evidence,
                       const RemovalBudget& budget, TimePoint now);
 
+// Finds out when an outage of the store ended that this daemon saw. Daemons
+// notice the return at different times, and the store may turn away some of
+// them only.
+class OutageEvidence {
+ public:
+  // The store stopped answering this daemon.
+  void OnLost(TimePoint now);
+  // A peer reports that the store answered it at `confirmed_at` and has not
+  // failed it since `unbroken_since`.
+  void OnPeerReport(TimePoint unbroken_since, TimePoint confirmed_at);
+  // The store answers this daemon again. Returns since when it served peers;
+  // `now` if none is known to have been served before.
+  TimePoint OnRegained(TimePoint now);
+
+ private:
+  // An answer this soon after the loss may be from before the outage, as the
+  // ages in reports do not include their time on the way.
+  static constexpr Duration kReportTolerance = std::chrono::milliseconds(500);
+
+  std::optional<TimePoint> lost_at_;
+  std::optional<TimePoint> peer_served_at_;
+};
+
 }  // namespace lacewingknot
 
 #endif  // LACEWINGKNOT_POLICY_REMOVAL_HOLD_H_
--- a/lacewingknot/policy/removal_hold_test.cc
+++ b/lacewingknot/policy/removal_hold_test.cc
@@ -81,5 +81,36 @@
             kNow + milliseconds(1'500));
 }
 
+class OutageEvidenceTest : public ::testing::Test {
+ protected:
+  void SetUp() override { outage_.OnLost(kNow); }
+  OutageEvidence outage_;
+};
+
+TEST_F(OutageEvidenceTest, Outage_NoPeerServed_EndsWithOwnReturn) {
+  outage_.OnPeerReport(kNow - seconds(9), kNow - milliseconds(10));
+  EXPECT_EQ(outage_.OnRegained(kNow + seconds(5)), kNow + seconds(5));
+}
+
+// Guards against counting a hold from when this daemon noticed the return, a
+// second after others.
+TEST_F(OutageEvidenceTest, Outage_PeerRegainedEarlier_EndsThen) {
+  outage_.OnPeerReport(kNow + seconds(4), kNow + milliseconds(4'500));
+  EXPECT_EQ(outage_.OnRegained(kNow + milliseconds(5'500)), kNow + seconds(4));
+}
+
+TEST_F(OutageEvidenceTest, Outage_PeerNeverLostStore_EndsWithItsFirstAnswer) {
+  for (int i = 1; i <= 8; ++i) {
+    outage_.OnPeerReport(kNow - seconds(60), kNow + seconds(i));
+  }
+  EXPECT_EQ(outage_.OnRegained(kNow + seconds(9)), kNow + seconds(1));
+}
+
+TEST_F(OutageEvidenceTest, Outage_PeerLostStoreAgain_EndsWithItsLaterReturn) {
+  outage_.OnPeerReport(kNow + seconds(2), kNow + seconds(2));
+  outage_.OnPeerReport(kNow + seconds(6), kNow + seconds(6));
+  EXPECT_EQ(outage_.OnRegained(kNow + seconds(7)), kNow + seconds(6));
+}
+
 }  // namespace
 }  // namespace lacewingknot
