--- a/lacewingknot/edge/framing_test.cc
+++ b/lacewingknot/edge/framing_test.cc
@@ -38,78 +38,86 @@
 constexpr std::string_view kChunked = "Transfer-Encoding: chunked\r\n";
 
 // Messages with the body "abcde".
-const auto kFramedMessages = ::testing::Values(
-    Framing{"Length", "Content-Length: 5\r\n", "abcde"},
-    Framing{"EqualLengths", "Content-Length: 5\r\nContent-Length: 5\r\n",
-            "abcde"},
-    Framing{"EqualLengthsInAList", "Content-Length: 5, 5\r\n", "abcde"},
-    Framing{"Chunked", kChunked, kChunks},
-    Framing{"ChunkedInCapitals", "Transfer-Encoding: CHUNKED\r\n", kChunks},
-    Framing{"ChunkedAfterFold", "Transfer-Encoding:\r\n chunked\r\n", kChunks},
-    Framing{"ChunkSizeWithZeros", kChunked, "0005\r\nabcde\r\n000\r\n\r\n"},
-    Framing{"ChunkExtension", kChunked, "5;a=\"b;c\"\r\nabcde\r\n0;d\r\n\r\n"},
-    Framing{"FoldedHeader", "X-Fold: a\r\n b\r\nContent-Length: 5\r\n",
-            "abcde"},
-    Framing{"Trailers", kChunked,
-            "5\r\nabcde\r\n0\r\nX-Id: id-2\r\nX-Not-Run: 1\r\n"
-            "X-Signature: t\r\nX-Trailer: t\r\n\r\n"});
+auto FramedMessages() {
+  return ::testing::Values(
+      Framing{"Length", "Content-Length: 5\r\n", "abcde"},
+      Framing{"EqualLengths", "Content-Length: 5\r\nContent-Length: 5\r\n",
+              "abcde"},
+      Framing{"EqualLengthsInAList", "Content-Length: 5, 5\r\n", "abcde"},
+      Framing{"Chunked", kChunked, kChunks},
+      Framing{"ChunkedInCapitals", "Transfer-Encoding: CHUNKED\r\n", kChunks},
+      Framing{"ChunkedAfterFold", "Transfer-Encoding:\r\n chunked\r\n",
+              kChunks},
+      Framing{"ChunkSizeWithZeros", kChunked, "0005\r\nabcde\r\n000\r\n\r\n"},
+      Framing{"ChunkExtension", kChunked,
+              "5;a=\"b;c\"\r\nabcde\r\n0;d\r\n\r\n"},
+      Framing{"FoldedHeader", "X-Fold: a\r\n b\r\nContent-Length: 5\r\n",
+              "abcde"},
+      Framing{"Trailers", kChunked,
+              "5\r\nabcde\r\n0\r\nX-Id: id-2\r\nX-Not-Run: 1\r\n"
+              "X-Signature: t\r\nX-Trailer: t\r\n\r\n"});
+}
 
 // Messages that do not tell where their body ends, for clients and upstreams.
-const auto kUnframedMessages = ::testing::Values(
-    Framing{"DifferentLengths", "Content-Length: 5\r\nContent-Length: 4\r\n",
-            "abcde"},
-    Framing{"DifferentLengthsInAList", "Content-Length: 5, 4\r\n", "abcde"},
-    Framing{"EmptyLength", "Content-Length:\r\n", "abcde"},
-    Framing{"LengthWithSign", "Content-Length: +5\r\n", "abcde"},
-    Framing{"NegativeLength", "Content-Length: -5\r\n", "abcde"},
-    Framing{"LengthInHex", "Content-Length: 0x5\r\n", "abcde"},
-    Framing{"LengthWithBlank", "Content-Length: 5 0\r\n", "abcde"},
-    Framing{"LengthBeyond64Bits", "Content-Length: 18446744073709551621\r\n",
-            "abcde"},
-    Framing{"LengthBeforeChunked",
-            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", kChunks},
-    Framing{"LengthAfterChunked",
-            "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", kChunks},
-    Framing{"LengthBesideIdentity",
-            "Transfer-Encoding: identity\r\nContent-Length: 5\r\n", "abcde"},
-    Framing{"Identity", "Transfer-Encoding: identity\r\n", "abcde"},
-    Framing{"UnknownCoding", "Transfer-Encoding: gzip\r\n", "abcde"},
-    Framing{"EmptyCoding", "Transfer-Encoding:\r\n", "abcde"},
-    Framing{"ChunkedNotLast", "Transfer-Encoding: chunked, identity\r\n",
-            kChunks},
-    Framing{"ChunkedTwice", "Transfer-Encoding: chunked, chunked\r\n", kChunks},
-    Framing{"ChunkedTwiceInTwoLines",
-            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-            kChunks},
-    Framing{"IdentityThenChunkedInTwoLines",
-            "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
-            kChunks},
-    Framing{"ChunkedWithParameter", "Transfer-Encoding: chunked;q=1\r\n",
-            kChunks},
-    Framing{"ChunkedAndWord", "Transfer-Encoding: chunked identity\r\n",
-            kChunks},
-    Framing{"ChunkedQuoted", "Transfer-Encoding: \"chunked\"\r\n", kChunks},
-    Framing{"ChunkedInHttp10", kChunked, kChunks, "HTTP/1.0"},
-    Framing{"ChunkSizeWithSign", kChunked, "+5\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"NegativeChunkSize", kChunked, "-5\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkSizeAfterBlank", kChunked, " 5\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkSizeBeforeBlank", kChunked, "5 \r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkSizeWithHexPrefix", kChunked, "0x5\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkSizeBeyond64Bits", kChunked,
-            "10000000000000005\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkSizeMissing", kChunked, "\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"ChunkLongerThanItsSize", kChunked, "4\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"BareLfAfterChunkSize", kChunked, "5\nabcde\r\n0\r\n\r\n"},
-    Framing{"BareCrAfterChunkSize", kChunked, "5\rabcde\r\n0\r\n\r\n"},
-    Framing{"BareLfInChunkExtension", kChunked,
-            "5;a=\"\n\"\r\nabcde\r\n0\r\n\r\n"},
-    Framing{"BareLfAfterHeader", "X-Other: a\nContent-Length: 5\r\n", "abcde"},
-    Framing{"BareCrInHeader", "X-Other: a\rb\r\nContent-Length: 5\r\n",
-            "abcde"},
-    Framing{"BlankBeforeColon", "Content-Length : 5\r\n", "abcde"},
-    Framing{"TabBeforeColon", "Transfer-Encoding\t: chunked\r\n", kChunks},
-    Framing{"LengthInTrailer", kChunked,
-            "5\r\nabcde\r\n0\r\nContent-Length: 5\r\n\r\n"});
+auto UnframedMessages() {
+  return ::testing::Values(
+      Framing{"DifferentLengths", "Content-Length: 5\r\nContent-Length: 4\r\n",
+              "abcde"},
+      Framing{"DifferentLengthsInAList", "Content-Length: 5, 4\r\n", "abcde"},
+      Framing{"EmptyLength", "Content-Length:\r\n", "abcde"},
+      Framing{"LengthWithSign", "Content-Length: +5\r\n", "abcde"},
+      Framing{"NegativeLength", "Content-Length: -5\r\n", "abcde"},
+      Framing{"LengthInHex", "Content-Length: 0x5\r\n", "abcde"},
+      Framing{"LengthWithBlank", "Content-Length: 5 0\r\n", "abcde"},
+      Framing{"LengthBeyond64Bits", "Content-Length: 18446744073709551621\r\n",
+              "abcde"},
+      Framing{"LengthBeforeChunked",
+              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", kChunks},
+      Framing{"LengthAfterChunked",
+              "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", kChunks},
+      Framing{"LengthBesideIdentity",
+              "Transfer-Encoding: identity\r\nContent-Length: 5\r\n", "abcde"},
+      Framing{"Identity", "Transfer-Encoding: identity\r\n", "abcde"},
+      Framing{"UnknownCoding", "Transfer-Encoding: gzip\r\n", "abcde"},
+      Framing{"EmptyCoding", "Transfer-Encoding:\r\n", "abcde"},
+      Framing{"ChunkedNotLast", "Transfer-Encoding: chunked, identity\r\n",
+              kChunks},
+      Framing{"ChunkedTwice", "Transfer-Encoding: chunked, chunked\r\n",
+              kChunks},
+      Framing{"ChunkedTwiceInTwoLines",
+              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+              kChunks},
+      Framing{"IdentityThenChunkedInTwoLines",
+              "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+              kChunks},
+      Framing{"ChunkedWithParameter", "Transfer-Encoding: chunked;q=1\r\n",
+              kChunks},
+      Framing{"ChunkedAndWord", "Transfer-Encoding: chunked identity\r\n",
+              kChunks},
+      Framing{"ChunkedQuoted", "Transfer-Encoding: \"chunked\"\r\n", kChunks},
+      Framing{"ChunkedInHttp10", kChunked, kChunks, "HTTP/1.0"},
+      Framing{"ChunkSizeWithSign", kChunked, "+5\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"NegativeChunkSize", kChunked, "-5\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkSizeAfterBlank", kChunked, " 5\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkSizeBeforeBlank", kChunked, "5 \r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkSizeWithHexPrefix", kChunked, "0x5\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkSizeBeyond64Bits", kChunked,
+              "10000000000000005\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkSizeMissing", kChunked, "\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"ChunkLongerThanItsSize", kChunked, "4\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"BareLfAfterChunkSize", kChunked, "5\nabcde\r\n0\r\n\r\n"},
+      Framing{"BareCrAfterChunkSize", kChunked, "5\rabcde\r\n0\r\n\r\n"},
+      Framing{"BareLfInChunkExtension", kChunked,
+              "5;a=\"\n\"\r\nabcde\r\n0\r\n\r\n"},
+      Framing{"BareLfAfterHeader", "X-Other: a\nContent-Length: 5\r\n",
+              "abcde"},
+      Framing{"BareCrInHeader", "X-Other: a\rb\r\nContent-Length: 5\r\n",
+              "abcde"},
+      Framing{"BlankBeforeColon", "Content-Length : 5\r\n", "abcde"},
+      Framing{"TabBeforeColon", "Transfer-Encoding\t: chunked\r\n", kChunks},
+      Framing{"LengthInTrailer", kChunked,
+              "5\r\nabcde\r\n0\r\nContent-Length: 5\r\n\r\n"});
+}
 
 class RequestFramingTest : public testing::EdgeFixture,
                            public ::testing::WithParamInterface<Framing> {
@@ -144,7 +152,7 @@
 };
 
 class FramedRequestTest : public RequestFramingTest {};
-INSTANTIATE_TEST_SUITE_P(Messages, FramedRequestTest, kFramedMessages, NameOf);
+INSTANTIATE_TEST_SUITE_P(Messages, FramedRequestTest, FramedMessages(), NameOf);
 
 // Guards against taking a trailer for a header: it could replace the request's
 // id.
@@ -158,7 +166,7 @@
 }
 
 class UnframedRequestTest : public RequestFramingTest {};
-INSTANTIATE_TEST_SUITE_P(Messages, UnframedRequestTest, kUnframedMessages,
+INSTANTIATE_TEST_SUITE_P(Messages, UnframedRequestTest, UnframedMessages(),
                          NameOf);
 
 // Guards against taking a body for the next request on the connection.
@@ -229,7 +237,7 @@
 };
 
 class FramedAnswerTest : public AnswerFramingTest {};
-INSTANTIATE_TEST_SUITE_P(Messages, FramedAnswerTest, kFramedMessages, NameOf);
+INSTANTIATE_TEST_SUITE_P(Messages, FramedAnswerTest, FramedMessages(), NameOf);
 
 // Guards against taking a trailer for a header: it could state that the request
 // did not run.
@@ -243,7 +251,7 @@
 }
 
 class UnframedAnswerTest : public AnswerFramingTest {};
-INSTANTIATE_TEST_SUITE_P(Messages, UnframedAnswerTest, kUnframedMessages,
+INSTANTIATE_TEST_SUITE_P(Messages, UnframedAnswerTest, UnframedMessages(),
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(
     OfUpstreams, UnframedAnswerTest,
