--- a/lacewingknot/edge/endless_answer_test.cc
+++ b/lacewingknot/edge/endless_answer_test.cc
@@ -193,6 +193,25 @@
   EXPECT_LE(HeapGrowth(), kMaxHeapGrowth);
 }
 
+// Guards against reading on after a whole answer.
+TEST_F(HeldMemoryTest, Bytes_AfterWholeAnswer_CloseConnection) {
+  const auto server = std::make_shared<EndlessServer>(
+      io_,
+      EndlessAnswer{.name = "AfterAnswer",
+                    .begin = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\n"
+                             "X-Signature: s\r\nContent-Length: 1\r\n\r\nx",
+                    .repeat = std::string(16'000, '#')});
+  server->Start();
+  AddUpstream("s", NeverReplies()).record.address =
+      "127.0.0.1:" + std::to_string(server->port());
+  ApplyRoutes({PassRoute("s", RetryPolicy::kAtMostOnce)});
+  const HttpReply reply = SendRequest("/p/1");
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, "x");
+  RunUntil([&] { return server->closed(); });
+  EXPECT_LE(server->sent(), kSocketBufferBytes);
+}
+
 // Guards against relays whose frames are each allowed but together exceed a VM.
 TEST_F(HeldMemoryTest, Relays_FramesStalledBeforeTheirEnd_FitIntoMemory) {
   constexpr std::size_t kRelays = 12;
