--- a/lacewingknot/policy/answer_budget.cc
+++ b/lacewingknot/policy/answer_budget.cc
@@ -9,10 +9,10 @@
   const std::size_t free_bytes =
       options_.total_bytes - std::min(options_.total_bytes, held_by_others);
   // In floating point, because the square may exceed an integer.
-  const double free_share = static_cast<double>(free_bytes) /
-                            static_cast<double>(options_.total_bytes);
+  const auto total = static_cast<double>(options_.total_bytes);
+  const auto left = static_cast<double>(free_bytes);
   const auto limit = static_cast<std::size_t>(
-      free_share * static_cast<double>(free_bytes / options_.divisor));
+      left * left / total / static_cast<double>(options_.divisor));
   return std::max(limit, options_.guaranteed_bytes);
 }
 
