Times in a relay request are limited before they are converted

Callers saw nothing yet: a damaged request could give a query any deadline.

Cause: RelaySession converted the milliseconds and microseconds of a request to nanoseconds, which overflows for extreme values (undefined behaviour).

Evidence: Request_ExtremeTimes_OtherLinksAreServed with relay_session.cc built with -fsanitize=undefined. Before: three reports "signed integer overflow" in chrono.h; after: none. Without the sanitizer the test passes on both, so it is red only under the undefined-behaviour check.

Why it works: a count is limited to one hour before the conversion, longer than the timeout of any route.

--- a/lacewingknot/edge/relay_frames_test.cc
+++ b/lacewingknot/edge/relay_frames_test.cc
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <array>
+#include <limits>
 #include <random>
 
 #include "lacewingknot/edge/relay_messages.h"
@@ -108,5 +109,23 @@
   EXPECT_LT(PeakMemoryKb() - before_kb, kMaxGrowthKb);
 }
 
+// Guards against times from a peer that overflow.
+TEST_F(RelayFramesTest, Request_ExtremeTimes_OtherLinksAreServed) {
+  AddUpstream("a", RepliesWith(MakeRecord('k')));
+  ApplyRoutes({ScatterRoute({"a"})});
+  ApplyDirectory();
+  for (const std::int64_t extreme :
+       {std::numeric_limits<std::int64_t>::max(),
+        std::numeric_limits<std::int64_t>::min()}) {
+    testing::RawClient entry(io_, relay_.port());
+    RelayAttemptRequest request = Request();
+    request.time_left_ms = request.mean_latency_us = extreme;
+    request.max_batch_delay_us = request.priority = extreme;
+    entry.Write(EncodeRelayFrame(request));
+    RunFor(milliseconds(20));
+    ExpectServed();
+  }
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -7,6 +7,21 @@
 #include "lacewingknot/policy/replica_choice.h"
 
 namespace lacewingknot::edge {
+namespace {
+
+// Longer than the timeout of any route. Larger values in a message are reduced
+// to it: sums with the clock's time must not overflow.
+constexpr std::chrono::milliseconds kMaxPeerTime = std::chrono::hours(1);
+
+// Returns the time of `count` units that a peer sent.
+template <typename Unit>
+Duration TimeFromPeer(std::int64_t count) {
+  const std::int64_t longest =
+      std::chrono::duration_cast<Unit>(kMaxPeerTime).count();
+  return Unit(std::clamp(count, -longest, longest));
+}
+
+}  // namespace
 
 void RelaySession::Start(boost::asio::ip::tcp::socket socket) {
   RelayChannel::Options channel = MakeWeakCallbacks(
@@ -39,13 +54,15 @@
       OutboundRequest{.head = std::move(request.head),
                       .body = std::move(request.body),
                       .request_id = std::move(request.request_id)});
-  query.deadline = now + std::chrono::milliseconds(request.time_left_ms);
-  query.mean_latency = std::chrono::microseconds(request.mean_latency_us);
+  query.deadline =
+      now + TimeFromPeer<std::chrono::milliseconds>(request.time_left_ms);
+  query.mean_latency =
+      TimeFromPeer<std::chrono::microseconds>(request.mean_latency_us);
   query.priority = request.priority;
   query.urgent = request.is_urgent;
   query.max_batch_delay = std::clamp<Duration>(
-      std::chrono::microseconds(request.max_batch_delay_us), Duration::zero(),
-      kMaxBatchDelay);
+      TimeFromPeer<std::chrono::microseconds>(request.max_batch_delay_us),
+      Duration::zero(), kMaxBatchDelay);
   query.top_records = TopRecordsMerger(
       static_cast<std::size_t>(std::max<std::int64_t>(request.top_records, 0)));
   options_.core->timers().At(
