First attempts avoid replicas that refuse a part of their requests

Cause: a relay sent first attempts to its data centre's replica whatever that refused, and a data centre whose relay had declined counted as tried.

A relay now declines first attempts while more than extra_load.ratio of the replica's recent attempts failed; retries go first to data centres that only declined, and may use a replica that stated "not run" if no other is left. The smoothed failure share moves from Upstream to policy/failure_share.h.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -112,13 +112,17 @@
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
+  ReplicaChoiceOptions choice = ReplicaChoiceWithout(options_.disabled);
+  if (is_enabled(Mechanism::kFailureShare)) {
+    choice.max_failure_share = options_.extra_ratio;
+  }
   service = std::make_shared<Service>(Service::Options{
       .name = name,
       .timers = &timers_,
       .extra_load = {},
       .started_at = options_.started_at,
       .vm = options_.vm,
-      .choice = ReplicaChoiceWithout(options_.disabled),
+      .choice = choice,
       .on_withheld = [metrics = options_.metrics](GateDecision reason) {
         metrics->OnReplicaPassedOver(GateDecisionName(reason));
       }});
--- a/lacewingknot/edge/relay_session.cc
+++ b/lacewingknot/edge/relay_session.cc
@@ -103,16 +103,32 @@
                                           .mean_latency = query.mean_latency};
   UpstreamPtr upstream =
       service.ChooseForAttempt(delegated.kind, criteria, now);
+  if (!upstream && !uses_any_replica && !shard.refused.empty()) {
+    // An upstream that refuses a part of its requests may take the next one.
+    std::vector<UpstreamPtr> may_have_run = shard.tried;
+    std::erase_if(may_have_run, [&](const UpstreamPtr& tried) {
+      return std::find(shard.refused.begin(), shard.refused.end(), tried) !=
+             shard.refused.end();
+    });
+    upstream = service.ChooseForAttempt(delegated.kind,
+                                        {.tried = may_have_run,
+                                         .local_only = true,
+                                         .mean_latency = query.mean_latency},
+                                        now);
+  }
   if (!upstream) {
     cause = service.WithheldUntil(now) ? kCauseWithheld : kCauseNoReplica;
     return nullptr;
   }
   if (!uses_any_replica && !delegated.is_mandatory &&
-      service.usable_data_centres().size() > 1 &&
-      ShouldDecline(service.LoadOf(*upstream, query.mean_latency, now),
-                    query.mean_latency, service.choice())) {
-    cause = kCauseBetterElsewhere;
-    return nullptr;
+      service.usable_data_centres().size() > 1) {
+    const ReplicaLoad load = service.LoadOf(*upstream, query.mean_latency, now);
+    if (ShouldDecline(load, query.mean_latency, service.choice()) ||
+        (delegated.kind == AttemptKind::kFirst &&
+         FailsTooOften(load, service.choice()))) {
+      cause = kCauseBetterElsewhere;
+      return nullptr;
+    }
   }
   if (delegated.kind == AttemptKind::kFirst) {
     service.OnFirstAttempt(now);
@@ -175,6 +191,7 @@
   std::erase_if(shard.attempts_in_flight, [&](const AttemptInFlight& live) {
     return live.attempt == attempt;
   });
+  if (result.end == AttemptEnd::kRefused) shard.refused.push_back(upstream);
   const bool succeeded = result.end == AttemptEnd::kAnswered &&
                          IsSuccessStatus(result.reply.status);
   const bool is_part = succeeded && IsPartOf(*query.request, result.reply);
--- a/lacewingknot/edge/relay_session.h
+++ b/lacewingknot/edge/relay_session.h
@@ -57,6 +57,7 @@
   // One shard of a query.
   struct Shard {
     std::vector<UpstreamPtr> tried;
+    std::vector<UpstreamPtr> refused;  // Those that stated "not run".
     std::vector<AttemptInFlight> attempts_in_flight;
     bool answered = false;  // A part was accepted; a second must not be merged.
   };
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -358,6 +358,57 @@
   EXPECT_TRUE(remote.requests.empty());
 }
 
+// Guards against first attempts that go on to a replica which refuses many of
+// them, while replicas elsewhere take theirs: the retries use up the budget.
+TEST_F(RelayBatchTest, Replica_RefusesOften_DeclinesFirstAttempt) {
+  auto& refusing =
+      AddUpstream("a", [](const FakeRequest&, ConnectionArg connection) {
+        connection->Reply({.status = 503, .headers = {{"X-Not-Run", "1"}}});
+      });
+  AddUpstream("a", NeverReplies()).record.data_centre = "elsewhere";
+  Connect();
+  std::uint64_t number = 0;
+  constexpr std::size_t kRefusals = 4;
+  for (std::size_t i = 1; i <= kRefusals; ++i) {
+    DelegateAttempts({{.number = ++number, .service = "a"}});
+    AwaitResults(i);
+  }
+  const auto declined = std::find_if(
+      results_.begin(), results_.end(),
+      [](const auto& result) { return result.cause == kCauseBetterElsewhere; });
+  ASSERT_NE(declined, results_.end());
+  EXPECT_EQ(declined->end, AttemptEnd::kNotSent);
+  EXPECT_LT(refusing.requests.size(), kRefusals);
+  // Nobody else is left to make this one.
+  DelegateAttempts(
+      {{.number = ++number, .service = "a", .is_mandatory = true}});
+  AwaitResults(kRefusals + 1);
+  EXPECT_EQ(results_.back().end, AttemptEnd::kRefused);
+}
+
+// Guards against a shard that is given up although its replicas refuse only a
+// part of the requests.
+TEST_F(RelayBatchTest, Replica_RefusedOnce_TakesRetry) {
+  int requests = 0;
+  AddUpstream("a", [&](const FakeRequest& request, ConnectionArg connection) {
+    if (++requests == 1) {
+      connection->Reply({.status = 503, .headers = {{"X-Not-Run", "1"}}});
+      return;
+    }
+    connection->Reply(SignedReply(request, MakeRecord('k')));
+  });
+  Connect();
+  DelegateAttempts({{.number = 1, .service = "a", .is_mandatory = true}});
+  AwaitResults(1);
+  EXPECT_EQ(results_[0].end, AttemptEnd::kRefused);
+  DelegateAttempts({{.number = 2,
+                     .service = "a",
+                     .kind = AttemptKind::kRetry,
+                     .is_mandatory = true}});
+  AwaitResults(2);
+  EXPECT_EQ(results_[1].end, AttemptEnd::kAnswered);
+}
+
 TEST_F(RelayBatchTest, Answer_OfAnotherRequest_IsNotAPart) {
   AddUpstream("a", [](const FakeRequest& request, ConnectionArg connection) {
     FakeReply reply = SignedReply(request, MakeRecord('k'));
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -48,7 +48,7 @@
   Shard& shard = shards_[index];
   const Service& service = *route().services[index];
   shard.last_relay = std::move(choice.relay);
-  shard.queried_data_centres.push_back(std::move(choice.data_centre));
+  shard.queried_data_centres.push_back(choice.data_centre);
   auto request = std::find_if(relay_requests_.begin(), relay_requests_.end(),
                               [&](const RelayRequest& other) {
                                 return other.relay == shard.last_relay;
@@ -72,7 +72,8 @@
   shard.in_flight.push_back({.attempt = attempt,
                              .relay = shard.last_relay,
                              .number_at_relay = number,
-                             .in_batch = in_batch});
+                             .in_batch = in_batch,
+                             .data_centre = std::move(choice.data_centre)});
   shard.was_relayed = true;
 }
 
@@ -127,6 +128,9 @@
   Shard& shard = shards_[index];
   if (cause == kCauseNoBudget) ++denied_extra_attempts_;
   ++shard.declined_attempts;
+  if (cause == kCauseBetterElsewhere) {
+    shard.declined_data_centres.push_back(declined.data_centre);
+  }
   shard.was_relayed =
       shard.runs + shard.refusals > 0 || !shard.in_flight.empty();
   // A hedge without budget is not restarted: another attempt is in flight, and
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -317,6 +317,13 @@
   Shard& shard = shards_[index];
   if (result.end == AttemptEnd::kRefused) ++shard.refusals;
   if (!shard.in_flight.empty()) return;
+  // Replicas whose relays declined have not been queried.
+  std::erase_if(shard.queried_data_centres, [&](const std::string& queried) {
+    return std::find(shard.declined_data_centres.begin(),
+                     shard.declined_data_centres.end(),
+                     queried) != shard.declined_data_centres.end();
+  });
+  shard.declined_data_centres.clear();
   if (CanRetry(shard) && StartAttempt(index, AttemptKind::kRetry, now)) {
     ++retries_;
     return;
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -40,7 +40,8 @@
     RelayLinkPtr relay;
     // The attempt's number on the relay's connection.
     std::uint64_t number_at_relay = 0;
-    bool in_batch = false;  // The relay delivers the part within a batch.
+    bool in_batch = false;    // The relay delivers the part within a batch.
+    std::string data_centre;  // Of the relay; empty for any.
   };
 
   struct Shard {
@@ -49,6 +50,8 @@
     RelayLinkPtr last_relay;
     // Data centres whose replicas were queried, the latest one last.
     std::vector<std::string> queried_data_centres;
+    // Those of them whose relays declined the attempt.
+    std::vector<std::string> declined_data_centres;
     // The only relay that may deliver the shard's part within a batch.
     RelayLinkPtr batch_relay;
     int declined_attempts = 0;  // Attempts that relays did not make.
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -1,20 +1,10 @@
 #include "lacewingknot/edge/upstream.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace lacewingknot::edge {
-namespace {
-
-// Weight of the newest attempt in the smoothed share of failures.
-constexpr double kFailureWeight = 0.15;
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
+namespace {}  // namespace
 
 Upstream::Upstream(Options options)
     : options_(std::move(options)),
@@ -302,14 +292,14 @@
     case AttemptEnd::kAnswered:
       slowness_.Add(latency, attempt.mean_latency, now);
       if (result.reply.status >= kFirstServerErrorStatus) {
-        RaiseFailureShare(now);
+        failure_share_.OnFailure(now);
       } else {
         RecordSuccess();
       }
       return;
     case AttemptEnd::kRefused:
       if (result.reply.status == kMisdirectedStatus) OnMisdirected();
-      RaiseFailureShare(now);
+      failure_share_.OnFailure(now);
       return;
     case AttemptEnd::kNotSent:
     case AttemptEnd::kLost:
@@ -394,13 +384,8 @@
           .age = now - gate.answered_at()};
 }
 
-void Upstream::RaiseFailureShare(TimePoint now) {
-  failure_share_ += kFailureWeight * (1 - failure_share_);
-  failure_share_updated_at_ = now;
-}
-
 void Upstream::RecordFailure(std::string_view cause, TimePoint now) {
-  RaiseFailureShare(now);
+  failure_share_.OnFailure(now);
   ++consecutive_failures_;
   // A single lost exchange is weak evidence of a failure; a failed connect
   // shows that no process listens.
@@ -416,7 +401,7 @@
 }
 
 void Upstream::RecordSuccess() {
-  failure_share_ -= kFailureWeight * failure_share_;
+  failure_share_.OnSuccess();
   if (consecutive_failures_ >= 2 && options_.on_health_change) {
     options_.on_health_change(options_.record, "working", "answered");
   }
@@ -455,10 +440,7 @@
   }
   load.expected_latency =
       std::chrono::duration_cast<Duration>(usual * slowness_.Factor(now));
-  const double failures =
-      failure_share_ * std::exp2(-Seconds(now - failure_share_updated_at_) /
-                                 kFailureHalfLifeSeconds);
-  load.failure_share = failures;
+  load.failure_share = failure_share_.Value(now);
   return load;
 }
 
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -26,6 +26,7 @@
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/cold_presumption.h"
 #include "lacewingknot/policy/connection_ramp.h"
+#include "lacewingknot/policy/failure_share.h"
 #include "lacewingknot/policy/replica_choice.h"
 #include "lacewingknot/policy/slowness.h"
 #include "lacewingknot/policy/statement_table.h"
@@ -180,8 +181,6 @@
   static constexpr Duration kHealthCheckTimeout = std::chrono::seconds(1);
   // Health checks precede queued requests.
   static constexpr std::int64_t kHealthCheckPriority = -1;
-  // Half-life of the failure share while the upstream is not used.
-  static constexpr double kFailureHalfLifeSeconds = 3.0;
 
   void Dispatch();
   void DispatchOnce();
@@ -210,7 +209,6 @@
   void RecordStatement(const UpstreamReply& reply, TimePoint now);
   void OnStatementChange(const UpstreamGate::Changes& changes,
                          std::string_view from);
-  void RaiseFailureShare(TimePoint now);
   void RecordSuccess();
   void OnMisdirected();
   void CloseIdle(std::string_view cause);
@@ -234,8 +232,7 @@
   ColdStart cold_start_;
   ColdPresumption cold_presumption_;
   TimePoint next_health_check_at_{};
-  double failure_share_ = 0;  // Smoothed share of failed attempts.
-  TimePoint failure_share_updated_at_{};
+  FailureShare failure_share_;
   int consecutive_failures_ = 0;
   TimePoint backoff_until_{};
 };
--- a/lacewingknot/policy/replica_choice.cc
+++ b/lacewingknot/policy/replica_choice.cc
@@ -72,4 +72,9 @@
          Scaled(mean_latency, options.decline_factor) + options.remote_penalty;
 }
 
+bool FailsTooOften(const ReplicaLoad& best,
+                   const ReplicaChoiceOptions& options) {
+  return options.declines && best.failure_share > options.max_failure_share;
+}
+
 }  // namespace lacewingknot
--- a/lacewingknot/policy/replica_choice.h
+++ b/lacewingknot/policy/replica_choice.h
@@ -11,6 +11,11 @@
 // that ends the suspicion, so a paused replica gets no further requests until
 // it responds.
 //
+// At other times half of the replicas refuse nearly half of their requests for
+// ten seconds. Each refusal costs an extra attempt, and their budget lasts for
+// a few seconds only. A first attempt is then better made at a replica that
+// takes its requests: that costs no extra attempt (FailsTooOften).
+//
 // No I/O and no clock.
 //
 // Example:
@@ -54,6 +59,10 @@
   // A first attempt is declined if its expected time exceeds this multiple of
   // the mean latency plus remote_penalty.
   double decline_factor = 2.5;
+  // A first attempt is declined if a larger share of the replica's recent
+  // requests failed. It should be the share of requests that the budget for
+  // extra attempts can repeat for as long as the failures last.
+  double max_failure_share = 1;
   // Minimum age of the oldest request in flight for a suspicion, so that short
   // requests do not cause one.
   Duration min_suspect_age = std::chrono::milliseconds(20);
@@ -88,6 +97,11 @@
 bool ShouldDecline(const ReplicaLoad& best, Duration mean_latency,
                    const ReplicaChoiceOptions& options);
 
+// Returns whether a relay should decline a first attempt at `best` because its
+// failures would use up the budget for extra attempts.
+bool FailsTooOften(const ReplicaLoad& best,
+                   const ReplicaChoiceOptions& options);
+
 }  // namespace lacewingknot
 
 #endif  // LACEWINGKNOT_POLICY_REPLICA_CHOICE_H_
