Teams and API keys: decoding, look-up and 401

A configuration may list teams with API keys. A request without a valid key is answered 401 after its route was found; the key is erased before the session starts, and the upstream gets the team's name instead of what the client sent. The head that carries it also goes to relays. A team's priority takes precedence over the route's. Without teams both headers are forwarded in their places as before.

--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -253,9 +253,6 @@
   ClientRequest request = std::move(reader_->request());
   keep_alive_ = request.keep_alive;
   is_head_request_ = request.method == "HEAD";
-  const auto answer = [weak = weak_from_this()](const ClientAnswer& given) {
-    if (const auto self = weak.lock()) self->OnAnswer(given);
-  };
   const auto routes = options_.core->routes();
   if (!routes || options_.core->directory() == nullptr) {
     LogEvent(Event::kRequestRejected, {{"id", request.request_id},
@@ -274,8 +271,10 @@
     OnAnswer({.status = kStatusNotFound});
     return;
   }
-  const TimePoint now = BootClock::now();
-  if (options_.core->final_deadline() - now < route->spec->target_latency) {
+  const auto team = Authenticate(*routes, *route, request);
+  if (!team) return;
+  if (options_.core->final_deadline() - BootClock::now() <
+      route->spec->target_latency) {
     LogEvent(Event::kRequestRejected, {{"id", request.request_id},
                                        {"status", kStatusUnavailable},
                                        {"cause", "stopping"}});
@@ -283,13 +282,52 @@
         {.status = kStatusUnavailable, .retry_after = kStoppingRetryAfter});
     return;
   }
+  StartRequest(std::move(request), routes, *route, *team);
+}
+
+std::optional<TeamTable::Match> ClientConnection::Authenticate(
+    const BoundTable& routes, const BoundRoute& route, ClientRequest& request) {
+  const TeamTable& teams = routes.table->teams();
+  if (teams.empty()) {
+    RestoreWithheldHeaders(request);
+    return TeamTable::Match{};
+  }
+  if (route.spec->is_public) {
+    EraseWithheldHeaders(request);
+    return TeamTable::Match{};
+  }
+  const std::string_view key = BearerKey(request.credentials);
+  const TeamTable::Match match =
+      key.empty() ? TeamTable::Match{} : teams.Find(key);
+  const std::string_view cause = request.credentials.empty() ? "key_missing"
+                                 : key.empty()               ? "key_malformed"
+                                                             : "key_unknown";
+  EraseWithheldHeaders(request);
+  if (match) return match;
+  LogEvent(Event::kRequestRejected, {{"id", request.request_id},
+                                     {"status", kStatusUnauthorized},
+                                     {"cause", cause},
+                                     {"config", routes.table->version()}});
+  OnAnswer({.status = kStatusUnauthorized,
+            .headers = std::string(kChallengeHeader)});
+  return std::nullopt;
+}
+
+void ClientConnection::StartRequest(ClientRequest request,
+                                    std::shared_ptr<const BoundTable> routes,
+                                    const BoundRoute& route,
+                                    const TeamTable::Match& team) {
+  const auto answer = [weak = weak_from_this()](const ClientAnswer& given) {
+    if (const auto self = weak.lock()) self->OnAnswer(given);
+  };
   const Duration round_trip =
       request_count_ == 1 ? kRoundTripWithConnect : kRoundTrip;
   auto session = StartSession({.core = options_.core,
-                               .routes = routes,
-                               .route = route,
+                               .routes = std::move(routes),
+                               .route = &route,
                                .request = std::move(request),
-                               .started_at = now,
+                               .team = team,
+                               .started_at = BootClock::now(),
                                .client_round_trip = round_trip,
                                .answer = answer});
   // The session may have answered already.
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -66,6 +66,16 @@
   void BeginRequest();
   void OnHeader();
   void OnRequest();
+  // Returns the team whose key `request` carries, and erases the key from
+  // `request`. Returns empty if the request was answered, because it needs a
+  // key and has no valid one.
+  std::optional<TeamTable::Match> Authenticate(const BoundTable& routes,
+                                               const BoundRoute& route,
+                                               ClientRequest& request);
+  // Starts the session of a request that may run.
+  void StartRequest(ClientRequest request,
+                    std::shared_ptr<const BoundTable> routes,
+                    const BoundRoute& route, const TeamTable::Match& team);
   void OnParseError(boost::system::error_code error);
   void Reject(int status, std::string_view cause);
   void OnAnswer(const ClientAnswer& answer);
--- a/lacewingknot/edge/header_names.h
+++ b/lacewingknot/edge/header_names.h
@@ -22,6 +22,9 @@
   std::string leaving;  // Value "1": the upstream is about to leave.
   // Milliseconds for which the upstream is still cold.
   std::string cold_remaining;
+  // Name of the team whose key the client presented; written by the edge alone
+  // if the configuration has teams.
+  std::string team;
   std::string part_signatures;  // Signatures of the parts in a merged answer.
   std::string missing_parts;    // Number of shards missing from the answer.
 };
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -48,19 +48,33 @@
 // The most bytes that are reserved for a body before it arrives.
 constexpr std::uint64_t kMaxReservedBodyBytes = 64 << 10;
 
-// Returns `headers` without those that `tokens` lists.
-std::string RemoveListedHeaders(const std::string& headers,
-                                const std::string& tokens) {
+bool IsListed(string_view line, const std::string& tokens) {
+  return http::token_list(tokens).exists(line.substr(0, line.find(':')));
+}
+
+// Removes the headers that `tokens` lists from those to forward.
+void RemoveListedHeaders(ClientRequest& request, const std::string& tokens) {
+  const std::string& headers = request.forwarded_headers;
   std::string kept;
   std::size_t begin = 0;
+  auto withheld = request.withheld_headers.begin();
+  const auto update_withheld = [&] {
+    for (; withheld != request.withheld_headers.end() &&
+           withheld->position == begin;
+         ++withheld) {
+      withheld->position = kept.size();
+      withheld->is_hop_by_hop = IsListed(withheld->line, tokens);
+    }
+  };
   while (begin < headers.size()) {
+    update_withheld();
     const std::size_t end = headers.find("\r\n", begin) + 2;
     const string_view line(headers.data() + begin, end - begin);
-    const string_view name = line.substr(0, line.find(':'));
-    if (!http::token_list(tokens).exists(name)) kept += ToString(line);
+    if (!IsListed(line, tokens)) kept += ToString(line);
     begin = end;
   }
-  return kept;
+  update_withheld();
+  request.forwarded_headers = std::move(kept);
 }
 
 constexpr int kHttp11 = 11;
@@ -85,6 +99,42 @@
 
 }  // namespace
 
+void RestoreWithheldHeaders(ClientRequest& request) {
+  if (!request.withheld_headers.empty()) {
+    std::string headers;
+    std::size_t copied = 0;
+    for (const ClientRequest::WithheldHeader& withheld :
+         request.withheld_headers) {
+      headers.append(request.forwarded_headers, copied,
+                     withheld.position - copied);
+      copied = withheld.position;
+      if (!withheld.is_hop_by_hop) headers += withheld.line;
+    }
+    headers.append(request.forwarded_headers, copied);
+    request.forwarded_headers = std::move(headers);
+  }
+  EraseWithheldHeaders(request);
+}
+
+void EraseWithheldHeaders(ClientRequest& request) {
+  request.withheld_headers = {};
+  request.credentials = {};
+}
+
+std::string_view BearerKey(const std::vector<std::string>& credentials) {
+  if (credentials.size() != 1) return {};
+  const std::string_view value = credentials.front();
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view scheme = value.substr(0, kScheme.size());
+  if (!iequals({scheme.data(), scheme.size()},
+               {kScheme.data(), kScheme.size()})) {
+    return {};
+  }
+  const std::size_t begin = value.find_first_not_of(' ', kScheme.size());
+  return begin == std::string_view::npos ? std::string_view()
+                                         : value.substr(begin);
+}
+
 bool IsFramingError(boost::system::error_code error) {
   return error == http::error::bad_transfer_encoding ||
          error == http::error::bad_content_length ||
@@ -156,6 +206,15 @@
     return;
   }
   if (iequals(name_text, names_.expected_upstream)) return;
+  const bool is_credentials = name == field::authorization;
+  if (is_credentials || iequals(name_text, names_.team)) {
+    if (is_credentials) request_.credentials.push_back(ToString(value));
+    ClientRequest::WithheldHeader withheld{
+        .position = request_.forwarded_headers.size()};
+    AppendHeader(withheld.line, name_text, value);
+    request_.withheld_headers.push_back(std::move(withheld));
+    return;
+  }
   if (iequals(name_text, names_.request_id)) {
     request_.request_id = ToString(value);
   }
@@ -169,8 +228,7 @@
       iequals(connection_tokens_, "close")) {
     return;
   }
-  request_.forwarded_headers =
-      RemoveListedHeaders(request_.forwarded_headers, connection_tokens_);
+  RemoveListedHeaders(request_, connection_tokens_);
 }
 
 void ClientRequestReader::on_body_init_impl(
--- a/lacewingknot/edge/http_messages.h
+++ b/lacewingknot/edge/http_messages.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/edge/header_names.h"
@@ -33,6 +34,16 @@
   std::string request_id;
   std::optional<Duration> time_left;  // How long the client will still wait.
   std::string forwarded_headers;      // "Name: value\r\n" for each.
+  // Headers that are forwarded only if the configuration has no teams: the
+  // client's key, and the name that the client gives for its team.
+  struct WithheldHeader {
+    std::size_t position = 0;  // Its place in `forwarded_headers`.
+    std::string line;          // "Name: value\r\n".
+    bool is_hop_by_hop = false;
+  };
+  std::vector<WithheldHeader> withheld_headers;
+  // Values of the Authorization headers.
+  std::vector<std::string> credentials;
   std::string body;
   bool has_body = false;
   bool keep_alive = true;
@@ -59,6 +70,17 @@
   AnswerBudget::Reservation held;  // For the memory of `body`.
 };
 
+// Puts the withheld headers of `request` back into `forwarded_headers`, each in
+// its place, for a configuration without teams.
+void RestoreWithheldHeaders(ClientRequest& request);
+
+// Erases the withheld headers of `request` and the credentials in them.
+void EraseWithheldHeaders(ClientRequest& request);
+
+// Returns the key in `credentials`; empty if they are not exactly one of the
+// form "Bearer KEY".
+std::string_view BearerKey(const std::vector<std::string>& credentials);
+
 // Whether `status` is a success (2xx).
 constexpr bool IsSuccessStatus(int status) { return status / 100 == 2; }
 
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -44,7 +44,7 @@
   first_excluded_ = tried_.size();
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   waiting_ = service_->waiting().Add(
-      {.priority = spec().priority,
+      {.priority = priority(),
        .latest_start = end - service_->mean_latency(),
        .start = [self,
                  kind](TimePoint turn) { return self->OnTurn(kind, turn); },
@@ -177,7 +177,7 @@
   const TimePoint now = BootClock::now();
   const Duration retry_after =
       service_->WithheldUntil(now)
-          ? service_->waiting().RetryAfter(spec().priority, now)
+          ? service_->waiting().RetryAfter(priority(), now)
           : kRefusalRetryAfter;
   Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
          cause);
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -15,7 +15,7 @@
 constexpr Duration kAnswerDeadlineMargin = std::chrono::milliseconds(15);
 
 std::shared_ptr<const OutboundRequest> MakeOutbound(
-    const ClientRequest& request) {
+    const ClientRequest& request, const HeaderNames& names, const Team* team) {
   auto outbound = std::make_shared<OutboundRequest>();
   std::string& head = outbound->head;
   head.reserve(request.method.size() + request.target.size() +
@@ -27,6 +27,12 @@
   head += request.host;
   head += "\r\n";
   head += request.forwarded_headers;
+  if (team != nullptr) {
+    head += names.team;
+    head += ": ";
+    head += team->name;
+    head += "\r\n";
+  }
   if (request.has_body) {
     head += "Content-Length: ";
     head += std::to_string(request.body.size());
@@ -41,7 +47,9 @@
 }  // namespace
 
 RequestSession::RequestSession(Options options)
-    : options_(std::move(options)), outbound_(MakeOutbound(options_.request)) {
+    : options_(std::move(options)),
+      outbound_(MakeOutbound(options_.request, options_.core->names(),
+                             options_.team.team)) {
   Duration time_left = spec().timeout;
   if (request().time_left) {
     time_left = std::min(time_left, *request().time_left);
@@ -83,7 +91,7 @@
   attempt->request = outbound_;
   attempt->deadline = attempt_deadline;
   attempt->mean_latency = mean_latency;
-  attempt->priority = spec().priority;
+  attempt->priority = priority();
   attempt->keep_headers = keep_headers;
   return attempt;
 }
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -33,6 +33,8 @@
 // HTTP statuses that the edge itself answers with.
 inline constexpr int kStatusOk = 200;
 inline constexpr int kStatusBadRequest = 400;
+// The request carries no valid key. It has not run.
+inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusRequestTimeout = 408;
 inline constexpr int kStatusBodyTooLarge = 413;
@@ -43,6 +45,10 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
+// Header of answers with kStatusUnauthorized (RFC 9110, section 11.6.1).
+inline constexpr std::string_view kChallengeHeader =
+    "WWW-Authenticate: Bearer\r\n";
+
 // Whether `status` tells the client that its request has not run and will not
 // run. The edge gives such a status to a request that may run at most once only
 // if it knows that.
@@ -61,6 +67,9 @@
     std::shared_ptr<const BoundTable> routes;
     const BoundRoute* route = nullptr;
     ClientRequest request;
+    // The team whose key the client presented; none if the configuration has
+    // no teams or the route is public.
+    TeamTable::Match team;
     TimePoint started_at{};  // When the request had been read.
     // Network time of the request and its answer, which the client's latency
     // includes.
@@ -99,6 +108,12 @@
   const RouteSpec& spec() const { return *options_.route->spec; }
   const BoundRoute& route() const { return *options_.route; }
   const ClientRequest& request() const { return options_.request; }
+  const Team* team() const { return options_.team.team; }
+  // The team's priority, or else the route's.
+  std::int64_t priority() const {
+    return team() == nullptr ? spec().priority
+                             : team()->priority.value_or(spec().priority);
+  }
   const OutboundRequest& outbound() const { return *outbound_; }
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
--- a/lacewingknot/edge/routing_table.h
+++ b/lacewingknot/edge/routing_table.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "lacewingknot/base/clock.h"
+#include "lacewingknot/edge/team_table.h"
 
 namespace lacewingknot::edge {
 
@@ -45,6 +46,7 @@
   Duration target_latency{};      // The latency objective.
   std::int64_t max_attempts = 1;  // Per request, or per shard of a request.
   std::int64_t priority = 0;      // 0 is the most urgent.
+  bool is_public = false;         // Requests need no key.
 
   // A request is sent to one upstream of one of these services.
   std::vector<RouteTarget> targets;
@@ -87,6 +89,7 @@
     std::vector<RouteSpec> routes;
     std::map<std::string, ServiceLimits, std::less<>> services;
     ClientLimits client_limits;
+    TeamTable teams;  // Empty: requests need no key.
   };
 
   explicit RoutingTable(Options options);
@@ -103,6 +106,7 @@
 
   const std::vector<RouteSpec>& routes() const { return options_.routes; }
   const ClientLimits& client_limits() const { return options_.client_limits; }
+  const TeamTable& teams() const { return options_.teams; }
   std::uint64_t version() const { return options_.version; }
   std::uint64_t revision() const { return options_.revision; }
 
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -82,7 +82,7 @@
     RelayAttemptRequest& message = request.message;
     message.query = query_number_;
     message.time_left_ms = ToMillis(attempt_deadline_ - now);
-    message.priority = spec().priority;
+    message.priority = priority();
     message.is_urgent = is_urgent();
     message.mean_latency_us = ToMicros(route().latency_stats->mean_latency());
     message.top_records = static_cast<std::int64_t>(spec().top_records);
--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -54,7 +54,7 @@
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   shard.cause = kCauseWithheld;
   shard.waiting = service.waiting().Add(
-      {.priority = spec().priority,
+      {.priority = priority(),
        .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
        .start = [self,
                  index](TimePoint turn) { return self->OnTurn(index, turn); },
--- a/testing/edge_fixture.cc
+++ b/testing/edge_fixture.cc
@@ -110,7 +110,8 @@
                                   .revision = revision_,
                                   .routes = std::move(routes),
                                   .services = service_limits_,
-                                  .client_limits = client_limits_}));
+                                  .client_limits = client_limits_,
+                                  .teams = edge::TeamTable(teams_)}));
   ApplyDirectory();
 }
 
--- a/testing/edge_fixture.h
+++ b/testing/edge_fixture.h
@@ -117,6 +117,7 @@
                            .stated_rate = "X-Rate",
                            .leaving = "X-Leaving",
                            .cold_remaining = "X-Cold",
+                           .team = "X-Team",
                            .part_signatures = "X-Parts",
                            .missing_parts = "X-Missing"};
   edge::EdgeMetrics metrics_;
@@ -126,6 +127,7 @@
   std::set<std::string> evacuated_;
   std::map<std::string, edge::ServiceLimits, std::less<>> service_limits_;
   edge::ClientLimits client_limits_;
+  std::vector<edge::TeamTable::Entry> teams_;
   std::uint64_t revision_ = 0;
 };
 
