--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -304,10 +304,11 @@
                                                              : "key_unknown";
   EraseWithheldHeaders(request);
   if (match) return match;
-  LogEvent(Event::kRequestRejected, {{"id", request.request_id},
-                                     {"status", kStatusUnauthorized},
-                                     {"cause", cause},
-                                     {"config", routes.table->version()}});
+  LogEvent(Event::kRequestUnauthorized, {{"id", request.request_id},
+                                         {"route", route.spec->name},
+                                         {"cause", cause},
+                                         {"config", routes.table->version()}});
+  options_.core->metrics().OnUnauthorized(cause);
   OnAnswer({.status = kStatusUnauthorized,
             .headers = std::string(kChallengeHeader)});
   return std::nullopt;
@@ -443,6 +444,10 @@
   if (const auto session = session_) session->Expire();
 }
 
+void ClientConnection::OnKeysWithdrawn() {
+  if (const auto session = session_) session->OnKeysWithdrawn();
+}
+
 void ClientConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -47,6 +47,8 @@
   bool CloseIfIdle();
   // Answers the request that is running, if any, without waiting longer.
   void ExpireRequest();
+  // Ends the request that is running if its key was withdrawn before it ran.
+  void OnKeysWithdrawn();
   bool is_idle() const {
     return is_lingering_ || (!session_ && !has_request_ && buffer_.empty());
   }
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -31,6 +31,9 @@
 constexpr AnswerBudget::Options kHeldBytesLimits{.total_bytes = 17 << 20,
                                                  .divisor = 2};
 
+// Teams named in the log for one change of their keys.
+constexpr std::size_t kMaxLoggedTeams = 8;
+
 std::string ToOneDecimal(double number) {
   std::ostringstream text;
   text << std::fixed << std::setprecision(1) << number;
@@ -252,6 +255,7 @@
     route.admission = admission;
     bound->routes.push_back(std::move(route));
   }
+  const bool withdraws_keys = LogTeamChanges(*table);
   routes_ = std::move(bound);
   UpdateReplicaDataCentres();
   for (const auto& [name, service] : services_) {
@@ -260,6 +264,33 @@
   UpdateRelayMode();
   ApplyAllShares();
   options_.metrics->set_config_version(table->version());
+  if (withdraws_keys) on_keys_withdrawn_();
+}
+
+bool EdgeCore::LogTeamChanges(const RoutingTable& table) const {
+  const TeamTable none;
+  const TeamTable& old_teams = routes_ ? routes_->table->teams() : none;
+  const TeamTable& teams = table.teams();
+  const std::map<std::string, std::size_t> withdrawn =
+      old_teams.KeysMissingIn(teams);
+  std::size_t added = 0;
+  for (const auto& [team, keys] : teams.KeysMissingIn(old_teams)) added += keys;
+  std::size_t removed = 0;
+  std::size_t logged = 0;
+  for (const auto& [team, keys] : withdrawn) {
+    removed += keys;
+    if (++logged > kMaxLoggedTeams) continue;
+    LogEvent(Event::kTeamKeysWithdrawn,
+             {{"version", table.version()}, {"team", team}, {"keys", keys}});
+  }
+  if (added + removed > 0 || teams.teams().size() != old_teams.teams().size()) {
+    LogEvent(Event::kTeamsInForce, {{"version", table.version()},
+                                    {"teams", teams.teams().size()},
+                                    {"keys", teams.key_count()},
+                                    {"added", added},
+                                    {"withdrawn", removed}});
+  }
+  return removed > 0;
 }
 
 void EdgeCore::set_fleet_size(std::size_t size) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lacewingknot/edge/edge_metrics.h"
@@ -130,6 +131,12 @@
   // latest `max` reports, computed anew a few times a second.
   std::vector<StatementReport> LatestStatements(std::size_t max, TimePoint now);
 
+  // Sets the callback for a routing table, in force by then, that withdrew keys
+  // of teams.
+  void set_on_keys_withdrawn(std::function<void()> callback) {
+    on_keys_withdrawn_ = std::move(callback);
+  }
+
   // The daemon stops and answers every request before `end`.
   void set_final_deadline(TimePoint end) { final_deadline_ = end; }
   // TimePoint::max() unless the daemon stops.
@@ -191,6 +198,8 @@
   // Counts and logs an answer that was dropped because of its size.
   void OnAnswerDropped(std::string_view from, std::string_view cause,
                        std::size_t bytes);
+  // Logs how `table` changes the teams; returns whether it withdraws keys.
+  bool LogTeamChanges(const RoutingTable& table) const;
   void Preconnect();
   ServicePtr FindOrCreateService(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
@@ -235,6 +244,7 @@
   std::size_t fleet_size_ = kMinFleetSize;
   std::uint64_t last_query_number_ = 0;
   TimePoint final_deadline_ = TimePoint::max();
+  std::function<void()> on_keys_withdrawn_ = [] {};
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -33,6 +33,10 @@
                       .Name("lacewingknot_edge_rejected_requests_total")
                       .Help("Requests that could not be read, by cause.")
                       .Register(*registry_)),
+      unauthorized_(prometheus::BuildCounter()
+                        .Name("lacewingknot_edge_unauthorized_requests_total")
+                        .Help("Requests answered 401, by cause.")
+                        .Register(*registry_)),
       hedges_denied_(prometheus::BuildCounter()
                          .Name("lacewingknot_edge_hedges_denied_total")
                          .Help("Extra attempts that were not sent, by reason.")
@@ -153,6 +157,15 @@
   rejections_.Add({{"cause", std::string(cause)}}).Increment();
 }
 
+void EdgeMetrics::OnUnauthorized(std::string_view cause) {
+  unauthorized_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
+void EdgeMetrics::OnTeamRequest(std::string_view team,
+                                std::string_view outcome) {
+  team_requests_.OnRequest(team, outcome, BootClock::now());
+}
+
 void EdgeMetrics::OnAttempt(AttemptKind kind, AttemptEnd end,
                             Duration latency) {
   const auto kind_index = static_cast<std::size_t>(kind);
@@ -223,9 +236,12 @@
 }
 
 std::string EdgeMetrics::Render() const {
-  const auto age = StoreConfirmationAge(BootClock::now());
+  const TimePoint now = BootClock::now();
+  const auto age = StoreConfirmationAge(now);
   store_confirmation_age_.Set(age ? Seconds(*age) : -1);
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
+  auto families = registry_->Collect();
+  families.push_back(team_requests_.Collect(now));
+  return prometheus::TextSerializer().Serialize(families);
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -25,6 +25,7 @@
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/edge/attempt.h"
+#include "lacewingknot/edge/team_requests.h"
 
 namespace lacewingknot::edge {
 
@@ -37,6 +38,10 @@
                  Duration latency);
   // Counts a request that was rejected before it had been read.
   void OnRejection(std::string_view cause);
+  // Counts a request that was answered 401.
+  void OnUnauthorized(std::string_view cause);
+  // Counts a request of a team; `outcome` as in OnRequest().
+  void OnTeamRequest(std::string_view team, std::string_view outcome);
   void OnAttempt(AttemptKind kind, AttemptEnd end, Duration latency);
   // Counts an attempt that was delegated to a relay, by its outcome.
   void OnRelayed(AttemptEnd end);
@@ -78,6 +83,8 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Family<prometheus::Counter>& rejections_;
+  prometheus::Family<prometheus::Counter>& unauthorized_;
+  TeamRequests team_requests_;
   // Indexed by kind, then by end. Looked up only once, because every attempt is
   // counted here.
   std::array<std::array<prometheus::Counter*, kAttemptEndCount>,
--- a/lacewingknot/edge/edge_server.cc
+++ b/lacewingknot/edge/edge_server.cc
@@ -9,7 +9,9 @@
 namespace asio = boost::asio;
 
 EdgeServer::EdgeServer(Options options)
-    : options_(std::move(options)), acceptor_(options_.core->io()) {}
+    : options_(std::move(options)), acceptor_(options_.core->io()) {
+  options_.core->set_on_keys_withdrawn([this] { OnKeysWithdrawn(); });
+}
 
 Result<void> EdgeServer::Listen() {
   if (const auto bound = internal::BindAndListen(acceptor_, options_.listen);
@@ -60,6 +62,12 @@
   return open;
 }
 
+void EdgeServer::OnKeysWithdrawn() {
+  for (const auto& connection : OpenConnections()) {
+    connection->OnKeysWithdrawn();
+  }
+}
+
 void EdgeServer::ContinueDrain() {
   const TimePoint now = BootClock::now();
   const Duration elapsed = now - drain_started_;
--- a/lacewingknot/edge/edge_server.h
+++ b/lacewingknot/edge/edge_server.h
@@ -56,6 +56,8 @@
 
   void Accept();
   void ContinueDrain();
+  // Ends the requests whose keys were withdrawn before they ran.
+  void OnKeysWithdrawn();
   std::vector<std::shared_ptr<ClientConnection>> OpenConnections() const;
 
   Options options_;
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -59,6 +59,11 @@
 }
 
 bool PassSession::OnTurn(AttemptKind kind, TimePoint now) {
+  if (is_key_withdrawn()) {
+    waiting_.reset();
+    OnKeyWithdrawn();
+    return true;
+  }
   if (StartAttempt(kind, now)) {
     waiting_.reset();
     return true;
@@ -95,6 +100,7 @@
 }
 
 bool PassSession::CanRunAgain() const {
+  if (is_key_withdrawn()) return false;
   return runs_ == 0 || (spec().retry_policy == RetryPolicy::kIdempotent &&
                         runs_ < spec().max_attempts);
 }
@@ -119,12 +125,26 @@
   if (can_retry && StartAttempt(AttemptKind::kRetry, now)) return;
   if (can_retry && runs_ == 0 && Wait(AttemptKind::kRetry, now)) return;
   if (runs_ == 0) {
-    Refuse(last_cause_);
+    if (is_key_withdrawn()) {
+      RefuseWithdrawnKey();
+    } else {
+      Refuse(last_cause_);
+    }
     return;
   }
   Finish({.status = kStatusBadGateway}, "failed", last_cause_);
 }
 
+void PassSession::OnKeyWithdrawn() {
+  // The answer to an attempt that was sent is passed back.
+  if (in_flight_ && in_flight_->sent) return;
+  if (runs_ == 0) {
+    RefuseWithdrawnKey();
+    return;
+  }
+  Finish({.status = kStatusBadGateway}, "failed", kCauseKeyWithdrawn);
+}
+
 std::string_view PassSession::WithheldAnswerCause(
     const UpstreamReply& reply) const {
   // A success without a signature or without this request's id does not prove
--- a/lacewingknot/edge/pass_session.h
+++ b/lacewingknot/edge/pass_session.h
@@ -35,6 +35,7 @@
 
   void OnDeadline() override;
   void AbandonAttempts() override;
+  void OnKeyWithdrawn() override;
   std::string LogDetails() const override;
 
   // Returns false if there is no upstream, or no extra-load budget for a retry.
@@ -51,7 +52,8 @@
   // Why `reply` must not be passed back, for the log; empty if it may be.
   std::string_view WithheldAnswerCause(const UpstreamReply& reply) const;
   // Whether another attempt is safe: the request cannot have run, or it is
-  // idempotent and has attempts left.
+  // idempotent and has attempts left. A request whose key was withdrawn is not
+  // sent again.
   bool CanRunAgain() const;
   void Refuse(std::string_view cause);
 
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -96,6 +96,29 @@
   EXPECT_FALSE(HasMadeAttempts(metrics_));
 }
 
+// Guards against keys, or names that clients chose, in what relays send on.
+TEST_F(RelaySessionTest, Query_OfTeam_RelaySendsTeamAndNoKey) {
+  auto& upstream = AddUpstream("a", RepliesWith(MakeRecord('k')));
+  AddUpstream("b", RepliesWith(MakeRecord('z')));
+  teams_ = {{.team = {.name = "search"}, .keys = {DigestOfKey("k-4711")}}};
+  ApplyRoutes({Route()});
+  ShareConfiguration();
+  UseRelay();
+  testing::RawClient client(io_, server_.port());
+  client.Write(
+      "GET /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\n"
+      "X-Team: forged\r\nAuthorization: Bearer k-4711\r\n\r\n");
+  RunUntil([&] { return !client.received().empty(); });
+  EXPECT_EQ(client.received().substr(9, 3), "200");
+  EXPECT_TRUE(HasMadeAttempts(relay_metrics_));
+  EXPECT_FALSE(HasMadeAttempts(metrics_));
+  for (const FakeRequest& request : upstream.requests) {
+    EXPECT_EQ(request.header("X-Team"), "search");
+    EXPECT_EQ(request.headers.count("X-Team"), 1U);
+    EXPECT_EQ(request.headers.count("Authorization"), 0U);
+  }
+}
+
 TEST_F(RelaySessionTest, Relay_ConnectionLost_QueryIsAnsweredCompletely) {
   auto& silent_replica = AddUpstream("a", NeverReplies());
   auto& second_replica = AddUpstream("a", RepliesWith(MakeRecord('k')));
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -84,6 +84,33 @@
   AbandonAttempts();
 }
 
+void RequestSession::OnKeysWithdrawn() {
+  if (!finished_ && is_key_withdrawn()) OnKeyWithdrawn();
+}
+
+bool RequestSession::is_key_withdrawn() const {
+  if (team() == nullptr) return false;
+  const std::shared_ptr<const BoundTable> current = core().routes();
+  if (current == options_.routes) return false;
+  const TeamTable& teams = current->table->teams();
+  if (teams.empty()) return false;
+  const Team* owner = teams.FindDigest(options_.team.key);
+  return owner == nullptr || owner->name != team()->name;
+}
+
+void RequestSession::RefuseWithdrawnKey() {
+  LogEvent(Event::kWaitingRequestUnauthorized,
+           {{"id", request().request_id},
+            {"route", spec().name},
+            {"team", team()->name},
+            {"config", core().routes()->table->version()},
+            {"ms", ToMillis(BootClock::now() - started_at())}});
+  core().metrics().OnUnauthorized(kCauseKeyWithdrawn);
+  Finish(
+      {.status = kStatusUnauthorized, .headers = std::string(kChallengeHeader)},
+      "refused", kCauseKeyWithdrawn);
+}
+
 AttemptPtr RequestSession::MakeAttempt(TimePoint attempt_deadline,
                                        Duration mean_latency,
                                        bool keep_headers) const {
@@ -101,10 +128,12 @@
   const TimePoint now = BootClock::now();
   const Duration latency = now - started_at();
   core().metrics().OnRequest(spec().name, outcome, latency);
+  if (team() != nullptr) core().metrics().OnTeamRequest(team()->name, outcome);
   const Directory* directory = core().directory();
   LogEvent(Event::kRequestEnded,
            {{"id", request().request_id},
             {"route", spec().name},
+            {"team", team() == nullptr ? std::string_view("-") : team()->name},
             {"config", options_.routes->table->version()},
             {"upstreams_revision",
              directory == nullptr ? std::uint64_t{0} : directory->revision},
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -58,6 +58,9 @@
          status == kTooManyRequests || status == kStatusUnavailable;
 }
 
+// Cause of requests that end because their key was withdrawn.
+inline constexpr std::string_view kCauseKeyWithdrawn = "key_withdrawn";
+
 using AnswerCallback = std::function<void(const ClientAnswer&)>;
 
 class RequestSession : public std::enable_shared_from_this<RequestSession> {
@@ -88,12 +91,17 @@
   void Cancel();
   // Ends the session with an answer, as if its deadline had passed.
   void Expire();
+  // Keys were withdrawn; ends the work for this request, as far as none of it
+  // has been sent, if its key is among them.
+  void OnKeysWithdrawn();
 
  protected:
   // Answers the request, because its deadline has passed.
   virtual void OnDeadline() = 0;
   // Stops all work for this request.
   virtual void AbandonAttempts() = 0;
+  // Ends the work that has not been sent, because the key was withdrawn.
+  virtual void OnKeyWithdrawn() = 0;
   // Details for the log: "key=value" pairs, separated by spaces.
   virtual std::string LogDetails() const = 0;
 
@@ -101,6 +109,12 @@
   void Finish(const ClientAnswer& answer, std::string_view outcome,
               std::string_view cause);
 
+  // Whether the routes in force no longer give the client's key to the team
+  // under which the request began. Nothing is sent for it then.
+  bool is_key_withdrawn() const;
+  // Answers a request that has not run and whose key was withdrawn.
+  void RefuseWithdrawnKey();
+
   AttemptPtr MakeAttempt(TimePoint attempt_deadline, Duration mean_latency,
                          bool keep_headers) const;
 
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -132,6 +132,7 @@
   // A hedge without budget is not restarted: another attempt is in flight, and
   // StartHedges() runs again.
   if (!shard.in_flight.empty() && cause == kCauseNoBudget) return false;
+  if (is_key_withdrawn()) return false;
   RelayTable::Choice choice = ChooseAnotherRelay(index, now);
   if (choice.relay && choice.relay != declined.relay) {
     DelegateToRelay(index, kind, std::move(choice), now);
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -109,6 +109,10 @@
 
 void ScatterSession::StartShards() {
   if (finished()) return;
+  if (is_key_withdrawn()) {
+    OnKeyWithdrawn();
+    return;
+  }
   const TimePoint now = BootClock::now();
   is_decision_deferred_ = true;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
@@ -306,6 +310,7 @@
 }
 
 bool ScatterSession::CanRetry(const Shard& shard) const {
+  if (is_key_withdrawn()) return false;
   return shard.runs + static_cast<std::int64_t>(shard.in_flight.size()) <
              spec().max_attempts &&
          shard.refusals <= kMaxRefusals;
@@ -419,25 +424,33 @@
   return 2 * overloaded > missing;
 }
 
+bool ScatterSession::MayHaveRun() const {
+  return any_attempt_may_have_run_ ||
+         std::any_of(shards_.begin(), shards_.end(), [](const Shard& shard) {
+           return std::any_of(shard.in_flight.begin(), shard.in_flight.end(),
+                              [](const AttemptInFlight& in_flight) {
+                                return in_flight.attempt->sent;
+                              });
+         });
+}
+
 void ScatterSession::Refuse() {
   const TimePoint now = BootClock::now();
   const bool is_expired = now >= deadline();
   if (query_number_ != 0 && IsOverloaded()) {
     route().admission->OnEnded(QueryOutcome::kOverloaded, now);
   }
-  bool may_have_run = any_attempt_may_have_run_;
-  for (const Shard& shard : shards_) {
-    for (const AttemptInFlight& in_flight : shard.in_flight) {
-      may_have_run = may_have_run || in_flight.attempt->sent;
-    }
-  }
   // The client may take kStatusUnavailable as "not run", so it is given only if
   // no attempt can have run.
-  if (may_have_run) {
+  if (MayHaveRun()) {
     Finish({.status = is_expired ? kStatusGatewayTimeout : kStatusBadGateway},
            "failed", is_expired ? "deadline" : "too_few_shards");
     return;
   }
+  if (is_key_withdrawn()) {
+    RefuseWithdrawnKey();
+    return;
+  }
   Finish({.status = kStatusUnavailable, .retry_after = kRefusalRetryAfter},
          "refused", is_expired ? "deadline" : "too_few_shards");
 }
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -84,6 +84,7 @@
 
   void OnDeadline() override;
   void AbandonAttempts() override;
+  void OnKeyWithdrawn() override;
   std::string LogDetails() const override;
 
   // Starts the first attempt of every shard that has a usable replica.
@@ -149,6 +150,7 @@
   void OnFailedAttempt(std::size_t index, const AttemptResult& result,
                        TimePoint now);
   bool CanRetry(const Shard& shard) const;
+  bool MayHaveRun() const;
   // Starts a second attempt at every shard that still waits for its first one.
   void StartHedges();
   // Answers or fails the query if its progress allows no more waiting.
--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -71,6 +71,11 @@
 
 bool ScatterSession::OnTurn(std::size_t index, TimePoint now) {
   Shard& shard = shards_[index];
+  if (is_key_withdrawn()) {
+    shard.waiting.reset();
+    OnKeyWithdrawn();
+    return true;
+  }
   if (StartDirectAttempt(index, AttemptKind::kFirst, now)) {
     shard.waiting.reset();
     SendRelayRequests(now);
@@ -83,4 +88,24 @@
   return true;
 }
 
+void ScatterSession::OnKeyWithdrawn() {
+  if (!MayHaveRun()) {
+    RefuseWithdrawnKey();
+    return;
+  }
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    Shard& shard = shards_[i];
+    if (shard.state != ShardState::kPending) continue;
+    if (shard.waiting) route().services[i]->waiting().Remove(*shard.waiting);
+    shard.waiting.reset();
+    std::erase_if(shard.in_flight, [](const AttemptInFlight& attempt) {
+      const bool is_queued = attempt.upstream && !attempt.attempt->sent;
+      if (is_queued) attempt.upstream->Abandon(attempt.attempt);
+      return is_queued;
+    });
+    if (shard.in_flight.empty()) MarkFailed(shard, kCauseKeyWithdrawn);
+  }
+  Decide(BootClock::now());
+}
+
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/team_table.cc
+++ b/lacewingknot/edge/team_table.cc
@@ -57,12 +57,15 @@
   return team;
 }
 
-std::size_t TeamTable::CountKeysMissingIn(const TeamTable& other) const {
-  return static_cast<std::size_t>(
-      std::count_if(keys_.begin(), keys_.end(), [&](const Key& key) {
-        const Team* team = other.FindDigest(key.digest);
-        return team == nullptr || team->name != teams_[key.team].name;
-      }));
+std::map<std::string, std::size_t> TeamTable::KeysMissingIn(
+    const TeamTable& other) const {
+  std::map<std::string, std::size_t> missing;
+  for (const Key& key : keys_) {
+    const std::string& name = teams_[key.team].name;
+    const Team* team = other.FindDigest(key.digest);
+    if (team == nullptr || team->name != name) ++missing[name];
+  }
+  return missing;
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/team_table.h
+++ b/lacewingknot/edge/team_table.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,9 +71,10 @@
   bool empty() const { return teams_.empty(); }
   const std::vector<Team>& teams() const { return teams_; }
   std::size_t key_count() const { return keys_.size(); }
-  // Returns the number of keys of this table that `other` lacks or gives to a
-  // team of another name.
-  std::size_t CountKeysMissingIn(const TeamTable& other) const;
+  // Returns the number of keys of each team, by name, that `other` lacks or
+  // gives to a team of another name.
+  std::map<std::string, std::size_t> KeysMissingIn(
+      const TeamTable& other) const;
 
  private:
   struct Key {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,6 +9,7 @@
 platform_names='Server-Seal|Part-Seals|Missing-Parts|Expect-Instance|Not-Executed'
 platform_names+='|Server-Limit|Server-Leaving|Deadline-Remaining|Cold-Remaining|kv-(key|range|watch)|op/(config|evacuate)'
 platform_names+='|cold_remaining_ms|min_version|top_k|/lacewingknot/readiness|current_rev'
+platform_names+='|"Tenant"|Tenant: |api_keys|rate_per_s\b'
 if git grep -nE "$platform_names" -- lacewingknot testing; then
   echo "names of the platform outside platform/"
   exit 1
