--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -47,6 +47,8 @@
   bool CloseIfIdle();
   // Answers the request that is running, if any, without waiting longer.
   void ExpireRequest();
+  // Ends the request that is running if its key was withdrawn before it ran.
+  void OnKeysWithdrawn();
   bool is_idle() const {
     return is_lingering_ || (!session_ && !has_request_ && buffer_.empty());
   }
@@ -66,6 +68,16 @@
   void BeginRequest();
   void OnHeader();
   void OnRequest();
+  // Returns the team whose key `request` carries, and erases the key from
+  // `request`. Returns empty if the request was answered, because it needs a
+  // key and has no valid one.
+  std::optional<TeamTable::Match> Authenticate(const BoundTable& routes,
+                                               const BoundRoute& route,
+                                               ClientRequest& request);
+  // Starts the session of a request that may run.
+  void StartRequest(ClientRequest request,
+                    std::shared_ptr<const BoundTable> routes,
+                    const BoundRoute& route, const TeamTable::Match& team);
   void OnParseError(boost::system::error_code error);
   void Reject(int status, std::string_view cause);
   void OnAnswer(const ClientAnswer& answer);
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -15,7 +15,7 @@
 constexpr Duration kAnswerDeadlineMargin = std::chrono::milliseconds(15);
 
 std::shared_ptr<const OutboundRequest> MakeOutbound(
-    const ClientRequest& request) {
+    const ClientRequest& request, const HeaderNames& names, const Team* team) {
   auto outbound = std::make_shared<OutboundRequest>();
   std::string& head = outbound->head;
   head.reserve(request.method.size() + request.target.size() +
@@ -27,6 +27,12 @@
   head += request.host;
   head += "\r\n";
   head += request.forwarded_headers;
+  if (team != nullptr) {
+    head += names.team;
+    head += ": ";
+    head += team->name;
+    head += "\r\n";
+  }
   if (request.has_body) {
     head += "Content-Length: ";
     head += std::to_string(request.body.size());
@@ -41,7 +47,9 @@
 }  // namespace
 
 RequestSession::RequestSession(Options options)
-    : options_(std::move(options)), outbound_(MakeOutbound(options_.request)) {
+    : options_(std::move(options)),
+      outbound_(MakeOutbound(options_.request, options_.core->names(),
+                             options_.team.team)) {
   Duration time_left = spec().timeout;
   if (request().time_left) {
     time_left = std::min(time_left, *request().time_left);
@@ -76,6 +84,33 @@
   AbandonAttempts();
 }
 
+void RequestSession::OnKeysWithdrawn() {
+  if (!finished_ && is_key_withdrawn()) OnKeyWithdrawn();
+}
+
+bool RequestSession::is_key_withdrawn() const {
+  if (team() == nullptr) return false;
+  const std::shared_ptr<const BoundTable> current = core().routes();
+  if (current == options_.routes) return false;
+  const TeamTable& teams = current->table->teams();
+  if (teams.empty()) return false;
+  const Team* owner = teams.FindDigest(options_.team.key);
+  return owner == nullptr || owner->name != team()->name;
+}
+
+void RequestSession::RefuseWithdrawnKey() {
+  LogEvent(Event::kWaitingRequestUnauthorized,
+           {{"id", request().request_id},
+            {"route", spec().name},
+            {"team", team()->name},
+            {"config", core().routes()->table->version()},
+            {"ms", ToMillis(BootClock::now() - started_at())}});
+  core().metrics().OnUnauthorized(kCauseKeyWithdrawn);
+  Finish(
+      {.status = kStatusUnauthorized, .headers = std::string(kChallengeHeader)},
+      "refused", kCauseKeyWithdrawn);
+}
+
 AttemptPtr RequestSession::MakeAttempt(TimePoint attempt_deadline,
                                        Duration mean_latency,
                                        bool keep_headers) const {
@@ -83,7 +118,7 @@
   attempt->request = outbound_;
   attempt->deadline = attempt_deadline;
   attempt->mean_latency = mean_latency;
-  attempt->priority = spec().priority;
+  attempt->priority = priority();
   attempt->keep_headers = keep_headers;
   return attempt;
 }
@@ -93,10 +128,12 @@
   const TimePoint now = BootClock::now();
   const Duration latency = now - started_at();
   core().metrics().OnRequest(spec().name, outcome, latency);
+  if (team() != nullptr) core().metrics().OnTeamRequest(team()->name, outcome);
   const Directory* directory = core().directory();
   LogEvent(Event::kRequestEnded,
            {{"id", request().request_id},
             {"route", spec().name},
+            {"team", team() == nullptr ? std::string_view("-") : team()->name},
             {"config", options_.routes->table->version()},
             {"upstreams_revision",
              directory == nullptr ? std::uint64_t{0} : directory->revision},
--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -83,7 +83,7 @@
     RelayAttemptRequest& message = request.message;
     message.query = query_number_;
     message.time_left_ms = ToMillis(attempt_deadline_ - now);
-    message.priority = spec().priority;
+    message.priority = priority();
     message.is_urgent = is_urgent();
     message.mean_latency_us = ToMicros(route().latency_stats->mean_latency());
     message.top_records = static_cast<std::int64_t>(spec().top_records);
@@ -136,6 +136,7 @@
   // A hedge without budget is not restarted: another attempt is in flight, and
   // StartHedges() runs again.
   if (!shard.in_flight.empty() && cause == kCauseNoBudget) return false;
+  if (is_key_withdrawn()) return false;
   RelayTable::Choice choice = ChooseAnotherRelay(index, now);
   if (choice.relay && choice.relay != declined.relay) {
     DelegateToRelay(index, kind, std::move(choice), now);
