Store: follow the epoch that its answers state

The store may return from a copy that is some seconds old and issue its revisions again. A daemon that made no call meanwhile, or none on a connection that closed, watched on from a revision that named another change by then and kept outdated contents until the next change of the same key.

The reader now decodes the epoch in each answer, of any status, and reads everything again when an answer or a peer shows a higher one, also during a watch, a coalescing delay or a retry delay. Reports of another epoch confirm nothing; reports without one confirm nothing once the epoch has risen.

The fake HTTP server sends headers of the same name one by one instead of replacing the first.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -148,6 +148,10 @@
           [&](std::string_view outcome) {
             daemon.metrics().OnStoreCall(outcome);
           },
+      .on_epoch_invalid =
+          [&](std::string_view cause) {
+            daemon.metrics().OnStoreEpochInvalid(cause);
+          },
       .on_confirmed =
           [&](const lacewingknot::StoreReport& report) {
             daemon.SetStoreConfirmed(report);
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -204,6 +204,7 @@
 }
 
 void EdgeDaemon::SetStoreConfirmed(const StoreReport& report) {
+  metrics_.set_store_epoch(report.epoch);
   if (gossip_) gossip_->SetStoreConfirmed(report);
 }
 
@@ -268,6 +269,7 @@
   }
   if (gossip_) {
     const StoreReport report = gossip_->LatestStoreReport();
+    status["store_epoch"] = report.epoch;
     status["store_revision"] = report.state.until;
     status["store_digest"] = report.state.digest;
     status["store_read_age_ms"] = ToMillis(now - report.unbroken_since);
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -51,7 +51,7 @@
   void OnDirectory(std::shared_ptr<const Directory> directory);
   EdgeMetrics& metrics() { return metrics_; }
   // The store has just answered this daemon and holds nothing later than
-  // `revision`. Thread-safe, like the next two.
+  // the report's version. Thread-safe, like the next two.
   void SetStoreConfirmed(const StoreReport& report);
   // Whether other daemons ask this one about the store.
   bool is_sentinel() const { return gossip_ && gossip_->is_sentinel(); }
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -71,6 +71,17 @@
                        .Name("lacewingknot_edge_store_calls_total")
                        .Help("Calls to the configuration store by outcome.")
                        .Register(*registry_)),
+      store_epochs_invalid_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_store_epochs_invalid_total")
+              .Help("Answers of the store without a valid epoch, by cause.")
+              .Register(*registry_)),
+      store_epoch_(prometheus::BuildGauge()
+                       .Name("lacewingknot_edge_store_epoch")
+                       .Help("Epoch of the store's contents in use; 0 if the "
+                             "store states none.")
+                       .Register(*registry_)
+                       .Add({})),
       connections_opened_(
           prometheus::BuildCounter()
               .Name("lacewingknot_edge_connections_opened_total")
@@ -202,6 +213,14 @@
   }
 }
 
+void EdgeMetrics::OnStoreEpochInvalid(std::string_view cause) {
+  store_epochs_invalid_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
+void EdgeMetrics::set_store_epoch(std::uint64_t epoch) {
+  store_epoch_.Set(static_cast<double>(epoch));
+}
+
 std::optional<Duration> EdgeMetrics::StoreConfirmationAge(TimePoint now) const {
   const TimePoint::rep confirmed_at = store_confirmed_at_;
   if (confirmed_at == 0) return std::nullopt;
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -55,6 +55,9 @@
   void OnConnectionOpened();
   // An `outcome` of "ok" confirms what is known of the store.
   void OnStoreCall(std::string_view outcome);
+  // An answer of the store stated its epoch wrongly, for `cause`.
+  void OnStoreEpochInvalid(std::string_view cause);
+  void set_store_epoch(std::uint64_t epoch);
   void set_config_version(std::uint64_t version);
   void set_upstreams(std::size_t known);
   void set_ready(bool ready);
@@ -93,6 +96,8 @@
   prometheus::Family<prometheus::Counter>& answers_dropped_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& store_epochs_invalid_;
+  prometheus::Gauge& store_epoch_;
   prometheus::Counter& connections_opened_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& upstreams_;
--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -35,8 +35,9 @@
 // revision, data centres, members, of which the sender is the first, 0 or 1
 // plus the milliseconds since the store confirmed the revision, statements of
 // upstreams, demands, sums of demands, 0 or 1 plus the milliseconds since the
-// sender last lost the store, and the store's contents (EncodeState). Daemons
-// of earlier releases do not send the last six, two or one, and ignore them.
+// sender last lost the store, the store's contents (EncodeState), and its
+// epoch. Daemons of earlier releases do not send the last seven, three, two or
+// one, and ignore them.
 
 // Upstream, incarnation, thousandths of an attempt per second, and milliseconds
 // until the next report.
@@ -45,12 +46,19 @@
 // Upstream, incarnation, thousandths of an attempt per second.
 using WireDemandSum = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
-using WireMessage =
-    std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::string,
-               std::uint64_t, bool, std::uint64_t, std::vector<std::string>,
-               std::vector<WireMember>, std::uint64_t,
-               std::vector<WireStatement>, std::vector<WireDemand>,
-               std::vector<WireDemandSum>, std::uint64_t, std::string>;
+using WireMessage = std::tuple<
+    std::uint32_t, std::uint32_t, std::uint64_t, std::string, std::uint64_t,
+    bool, std::uint64_t, std::vector<std::string>, std::vector<WireMember>,
+    std::uint64_t, std::vector<WireStatement>, std::vector<WireDemand>,
+    std::vector<WireDemandSum>, std::uint64_t, std::string, std::uint64_t>;
+
+// Packs the first fields only. The others say nothing; the receiver takes them
+// for empty.
+template <std::size_t... kIndices>
+void PackFirst(const WireMessage& message, msgpack::sbuffer& bytes,
+               std::index_sequence<kIndices...> /*indices*/) {
+  msgpack::pack(bytes, std::tie(std::get<kIndices>(message)...));
+}
 
 class MemberPacker {
  public:
@@ -170,7 +178,7 @@
 GossipMessage ParseMessage(const WireMessage& wire) {
   const auto& [version, kind, number, about, digest, knows_fleet, revision,
                data_centres, members, confirmation_age, statements, demands,
-               sums, unbroken_for, state] = wire;
+               sums, unbroken_for, state, epoch] = wire;
   const bool exceeds_limits =
       members.empty() ||
       members.size() > Membership::kMaxUpdatesPerMessage + 1 ||
@@ -190,6 +198,7 @@
                      .digest = digest,
                      .knows_fleet_size = knows_fleet},
       .store_revision = revision,
+      .store_epoch = epoch,
       .store_confirmation_age = DecodeAge(confirmation_age),
       .store_unbroken_for = DecodeAge(unbroken_for),
       .store_state = DecodeState(state, revision),
@@ -239,16 +248,24 @@
                       ToDemandUnits(sum.per_second));
   }
   msgpack::sbuffer bytes;
-  msgpack::pack(
-      bytes,
-      WireMessage(kGossipVersion, static_cast<std::uint32_t>(membership.kind),
-                  membership.probe_number, membership.target, membership.digest,
-                  membership.knows_fleet_size, message.store_revision,
-                  packer.data_centres(), packer.members(),
-                  EncodeAge(message.store_confirmation_age),
-                  EncodeStatements(message.statements), demands, sums,
-                  EncodeAge(message.store_unbroken_for),
-                  EncodeState(message.store_state, message.store_revision)));
+  const WireMessage wire(
+      kGossipVersion, static_cast<std::uint32_t>(membership.kind),
+      membership.probe_number, membership.target, membership.digest,
+      membership.knows_fleet_size, message.store_revision,
+      packer.data_centres(), packer.members(),
+      EncodeAge(message.store_confirmation_age),
+      EncodeStatements(message.statements), demands, sums,
+      EncodeAge(message.store_unbroken_for),
+      EncodeState(message.store_state, message.store_revision),
+      message.store_epoch);
+  constexpr std::size_t kFields = std::tuple_size_v<WireMessage>;
+  if (message.store_epoch != 0) {
+    msgpack::pack(bytes, wire);
+  } else if (message.store_state.is_known()) {
+    PackFirst(wire, bytes, std::make_index_sequence<kFields - 1>());
+  } else {
+    PackFirst(wire, bytes, std::make_index_sequence<kFields - 2>());
+  }
   return {bytes.data(), bytes.size()};
 }
 
--- a/lacewingknot/edge/gossip_messages.h
+++ b/lacewingknot/edge/gossip_messages.h
@@ -1,6 +1,6 @@
 // Encodes and decodes gossip datagrams between daemons: membership messages
-// with the revision of the configuration store that the sender has seen, and
-// how long ago the store confirmed it.
+// with the epoch and revision of the configuration store that the sender has
+// seen, and how long ago the store confirmed them.
 //
 // A datagram is a msgpack array. Each data centre is named once and referred to
 // by index, and processor shares are in hundredths of a processor. A member
@@ -32,6 +32,7 @@
 struct GossipMessage {
   MemberMessage membership;
   std::uint64_t store_revision = 0;
+  std::uint64_t store_epoch = 0;  // 0: unknown.
   // Time since the store confirmed that nothing later than store_revision
   // exists, in whole milliseconds; empty if it never did.
   std::optional<Duration> store_confirmation_age;
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -88,6 +88,9 @@
 
 void PeerGossip::SetStoreConfirmed(const StoreReport& report) {
   const std::lock_guard lock(store_report_mutex_);
+  if (report.epoch > store_report_.epoch) {
+    tells_epoch_until_ = BootClock::now() + kTellStateFor;
+  }
   store_report_ = report;
 }
 
@@ -116,6 +119,7 @@
     SendDatagram(outgoing.to,
                  {.membership = outgoing.message,
                   .store_revision = report.revision,
+                  .store_epoch = EpochToTell(report, now),
                   .store_confirmation_age = age_of(report.confirmed_at),
                   .store_unbroken_for = age_of(report.unbroken_since),
                   .store_state = StateToTell(report, now)});
@@ -140,6 +144,14 @@
   return is_sentinel_ || now < tells_state_until_ ? report.state : StoreState();
 }
 
+std::uint64_t PeerGossip::EpochToTell(const StoreReport& report,
+                                      TimePoint now) const {
+  const std::lock_guard lock(store_report_mutex_);
+  return is_sentinel_ || now < std::max(tells_state_until_, tells_epoch_until_)
+             ? report.epoch
+             : 0;
+}
+
 std::size_t PeerGossip::SendDatagram(const std::string& address,
                                      const GossipMessage& message) {
   const auto endpoint = ParseEndpoint(address);
@@ -206,11 +218,13 @@
 std::size_t PeerGossip::SendStatements(
     const std::string& address, std::span<const StatementReport> reports) {
   if (reports.empty()) return 0;
+  const StoreReport store = LatestStoreReport();
   const auto part =
       reports.first(std::min(reports.size(), GossipMessage::kMaxStatements));
   return SendDatagram(address,
                       {.membership = membership_.MakeCarrier(address).message,
-                       .store_revision = LatestStoreReport().revision,
+                       .store_revision = store.revision,
+                       .store_epoch = EpochToTell(store, BootClock::now()),
                        .statements = {part.begin(), part.end()}});
 }
 
@@ -227,6 +241,7 @@
 }
 
 void PeerGossip::SendDemands(std::span<const DemandReport> reports) {
+  const StoreReport store = LatestStoreReport();
   std::map<std::string, std::vector<DemandReport>> by_keeper;
   for (const DemandReport& report : reports) {
     auto& group = by_keeper[KeeperOf(report.upstream, alive_)];
@@ -238,7 +253,8 @@
     } else {
       SendDatagram(keeper,
                    {.membership = membership_.MakeCarrier(keeper).message,
-                    .store_revision = LatestStoreReport().revision,
+                    .store_revision = store.revision,
+                    .store_epoch = EpochToTell(store, BootClock::now()),
                     .demands = group});
     }
   }
@@ -263,7 +279,8 @@
     return;
   }
   const TimePoint now = BootClock::now();
-  StoreReport report{.revision = message.value().store_revision,
+  StoreReport report{.epoch = message.value().store_epoch,
+                     .revision = message.value().store_revision,
                      .state = message.value().store_state};
   if (const auto& age = message.value().store_confirmation_age) {
     report.confirmed_at = now - *age;
@@ -286,9 +303,11 @@
         RecordDemands(membership.sender.address, message.value().demands);
     if (!sums.empty()) {
       const std::string& daemon = membership.sender.address;
+      const StoreReport store = LatestStoreReport();
       SendDatagram(daemon,
                    {.membership = membership_.MakeCarrier(daemon).message,
-                    .store_revision = LatestStoreReport().revision,
+                    .store_revision = store.revision,
+                    .store_epoch = EpochToTell(store, BootClock::now()),
                     .demand_sums = std::move(sums)});
     }
   }
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -2,9 +2,10 @@
 // (policy/membership.h). Each datagram also carries the revision of the
 // configuration store that its sender has seen, and when the store confirmed
 // it. In each round the daemon also asks a sentinel (policy/watch_schedule.h).
-// Sentinels also tell what the store holds (policy/store_state.h); the others
-// do so while a peer that reports other contents has read the store earlier
-// than they have.
+// Sentinels also tell the store's epoch (policy/store_version.h) and what it
+// holds (policy/store_state.h). The others do so while a peer that reports
+// other contents has read the store earlier than they have, and tell the epoch
+// for some time after it has risen: this bounds the traffic of a large fleet.
 //
 // Nothing depends on a single datagram: losing one delays an update by one
 // round. A daemon that receives a later revision than its own reads the store
@@ -137,6 +138,8 @@
                       TimePoint now);
   // What a datagram tells of the store's contents.
   StoreState StateToTell(const StoreReport& report, TimePoint now) const;
+  // The epoch that a datagram tells; 0 for none.
+  std::uint64_t EpochToTell(const StoreReport& report, TimePoint now) const;
 
   Options options_;
   boost::asio::io_context& io_;
@@ -168,6 +171,8 @@
   // Guarded by store_report_mutex_; its times are zero before the first
   // confirmation.
   StoreReport store_report_;
+  // For some time after the epoch has risen. Guarded by the same.
+  TimePoint tells_epoch_until_{};
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/net/http_connection.cc
+++ b/lacewingknot/net/http_connection.cc
@@ -23,6 +23,16 @@
   return {value.data(), value.size()};
 }
 
+std::vector<std::string_view> HttpReply::header_values(
+    std::string_view name) const {
+  const auto [first, last] = headers.equal_range(ToBoost(name));
+  std::vector<std::string_view> values;
+  for (auto field = first; field != last; ++field) {
+    values.emplace_back(field->value().data(), field->value().size());
+  }
+  return values;
+}
+
 Result<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
   const auto colon = address.rfind(':');
   const Error malformed{ErrorType::kInvalidSettings,
--- a/lacewingknot/net/http_connection.h
+++ b/lacewingknot/net/http_connection.h
@@ -50,6 +50,8 @@
   // Returns the value of a header, whose name is matched without regard to
   // case, or an empty string if the reply has no such header.
   std::string_view header(std::string_view name) const;
+  // Returns the values of all headers of that name.
+  std::vector<std::string_view> header_values(std::string_view name) const;
 };
 
 // Parses "IP:PORT". Fails with kInvalidSettings.
--- a/lacewingknot/policy/membership.h
+++ b/lacewingknot/policy/membership.h
@@ -260,7 +260,8 @@
   // all others.
   std::vector<std::string> local_probe_queue_;
   std::vector<std::string> remote_probe_queue_;
-  std::uint64_t last_probe_number_ = 0;
+  // Small, since it is part of all datagrams; the probes under way are few.
+  std::uint16_t last_probe_number_ = 0;
   std::uint64_t round_ = 0;
   bool is_leaving_ = false;
 };
--- a/lacewingknot/policy/store_state.cc
+++ b/lacewingknot/policy/store_state.cc
@@ -57,6 +57,10 @@
 
 Comparison CompareReports(const StoreReport& own, const StoreReport& peer,
                           TimePoint now) {
+  if (own.epoch != 0 && peer.epoch != 0 && own.epoch != peer.epoch) {
+    return own.epoch < peer.epoch ? Comparison::kOwnMayBeOutdated
+                                  : Comparison::kPeerMayBeOutdated;
+  }
   if (!own.state.is_known() || !peer.state.is_known()) {
     return Comparison::kCompatible;
   }
--- a/lacewingknot/policy/store_state.h
+++ b/lacewingknot/policy/store_state.h
@@ -6,8 +6,8 @@
 // their revisions again. A daemon that noticed the outage reads everything
 // again; one that did not goes on from a revision that names another change by
 // now, and stays with outdated contents until the next change of the same key.
-// No answer of the store shows this: the revision alone does not tell which
-// history it belongs to.
+// If the store does not state its epoch (policy/store_version.h), no answer
+// shows this: the revision alone does not tell which history it belongs to.
 //
 // Therefore daemons tell each other a digest of the contents and the revisions
 // between which it holds. In one history, contents at the same revision are
@@ -42,6 +42,7 @@
 #include <unordered_map>
 
 #include "lacewingknot/base/clock.h"
+#include "lacewingknot/policy/store_version.h"
 
 namespace lacewingknot {
 
@@ -58,12 +59,19 @@
 
 // What a daemon tells its peers of the store.
 struct StoreReport {
+  // The store's epoch (policy/store_version.h); 0 if unknown, also from daemons
+  // of earlier releases.
+  std::uint64_t epoch = 0;
   // The store held no change later than this at `confirmed_at`.
   std::uint64_t revision = 0;
   TimePoint confirmed_at{};
   // When the daemon last read all contents. It has not lost the store since.
   TimePoint unbroken_since{};
   StoreState state;
+
+  StoreVersion version() const {
+    return {.epoch = epoch, .revision = revision};
+  }
 };
 
 // Digest of a set of keys and their values, whatever the order in which they
@@ -86,7 +94,8 @@
   kPeerMayBeOutdated,
 };
 
-// Compares what this daemon knows with a peer's report, at `now`.
+// Compares what this daemon knows with a peer's report, at `now`. Epochs decide
+// if both are known.
 Comparison CompareReports(const StoreReport& own, const StoreReport& peer,
                           TimePoint now);
 
--- a/lacewingknot/policy/store_state_test.cc
+++ b/lacewingknot/policy/store_state_test.cc
@@ -90,6 +90,20 @@
   }
 }
 
+// Revisions of different epochs say nothing about each other.
+TEST(CompareReportsTest, Reports_OfTwoEpochs_LowerOneMayBeOutdated) {
+  const StoreState state{.since = 33, .until = 47, .digest = 1};
+  auto own = MakeReport(state, seconds(1));
+  auto peer = MakeReport(state, seconds(9));
+  own.epoch = 4;
+  peer.epoch = 5;
+  EXPECT_EQ(CompareReports(own, peer, kStart), Comparison::kOwnMayBeOutdated);
+  EXPECT_EQ(CompareReports(peer, own, kStart), Comparison::kPeerMayBeOutdated);
+  // A daemon of an earlier release reports none.
+  peer.epoch = 0;
+  EXPECT_EQ(CompareReports(own, peer, kStart), Comparison::kCompatible);
+}
+
 // A report does not tell how long ago a full read was, beyond an hour.
 TEST(CompareReportsTest, Reads_OfBothLongAgo_EachMayBeOutdated) {
   const StoreState state{.since = 33, .until = 47, .digest = 1};
--- a/lacewingknot/policy/watch_schedule.cc
+++ b/lacewingknot/policy/watch_schedule.cc
@@ -74,12 +74,18 @@
 }
 
 void WatchSchedule::OnPeerReport(const StoreReport& report,
-                                 std::uint64_t own_revision) {
-  if (report.revision > own_revision) return;
+                                 const StoreVersion& own) {
+  if (report.epoch == 0 ? has_epoch_risen_ : report.epoch != own.epoch) return;
+  if (report.revision > own.revision) return;
   if (report.unbroken_since > confirmed_at_) return;
   peer_confirmed_at_ = std::max(peer_confirmed_at_, report.confirmed_at);
 }
 
+void WatchSchedule::OnEpochRose() {
+  has_epoch_risen_ = true;
+  peer_confirmed_at_ = {};
+}
+
 Duration WatchSchedule::Wait(TimePoint now, const State& state) const {
   if (state.is_store_lost || is_store_suspected_) return kOutageWait;
   if (state.is_behind) return kMinWait;
--- a/lacewingknot/policy/watch_schedule.h
+++ b/lacewingknot/policy/watch_schedule.h
@@ -13,11 +13,12 @@
 // has confirmed for max_unconfirmed() abandons its watch and calls the store,
 // so that the bound also holds if the sentinels are cut off, paused or gone.
 //
-// The store may return from an outage without its last changes, which it had
-// delivered but not acknowledged, and use their revisions again. A revision
+// The store may return from an outage without its last changes and use their
+// revisions again. A revision
 // that was seen before an outage then says nothing about the state after it. So
 // a report confirms a daemon's state only if the store has answered that daemon
-// since the reporting daemon last lost it.
+// since the reporting daemon last lost it, and if it is of the same epoch
+// (policy/store_version.h).
 //
 // No I/O and no clock. Not thread-safe.
 //
@@ -25,7 +26,8 @@
 //   WatchSchedule schedule({.max_staleness = std::chrono::seconds(4)});
 //   const Duration wait = schedule.Wait(now, {.is_sentinel = false});
 //   ...  // Calls the store; a peer reports meanwhile.
-//   schedule.OnPeerReport({.revision = 412, .confirmed_at = now}, 412);
+//   schedule.OnPeerReport({.revision = 412, .confirmed_at = now},
+//                         {.revision = 412});
 //   if (now >= schedule.GiveUpTime(started, wait)) Abandon();
 
 #ifndef LACEWINGKNOT_POLICY_WATCH_SCHEDULE_H_
@@ -64,10 +66,14 @@
 
   // The store answered this daemon.
   void OnConfirmed(TimePoint now);
-  // A peer's report, received while this daemon's state is at `own_revision`.
-  // A report of a later revision confirms nothing here, nor does one of a
-  // daemon that has lost the store since it last answered here.
-  void OnPeerReport(const StoreReport& report, std::uint64_t own_revision);
+  // A peer's report, received while this daemon's state is at `own`. A report
+  // of a later version confirms nothing here, nor does one of an earlier epoch,
+  // nor one of a daemon that has lost the store since it last answered here.
+  // One without an epoch counts until OnEpochRose().
+  void OnPeerReport(const StoreReport& report, const StoreVersion& own);
+  // The store has returned with a higher epoch: what peers confirmed before
+  // says nothing of it.
+  void OnEpochRose();
   // A watch was abandoned at GiveUpTime().
   void OnAbandoned() { is_store_suspected_ = true; }
 
@@ -92,6 +98,7 @@
   TimePoint peer_confirmed_at_{};  // By reports of peers.
   // A watch was abandoned, and the store has not answered since.
   bool is_store_suspected_ = false;
+  bool has_epoch_risen_ = false;
 };
 
 // Returns the addresses of the sentinels of a fleet: at least two, in different
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,7 +7,7 @@
 clang-format --dry-run -Werror "${sources[@]}"
 # Names that the users' platform defines are used only by its adapter, platform/.
 platform_names='Server-Seal|Part-Seals|Missing-Parts|Expect-Instance|Not-Executed'
-platform_names+='|Server-Limit|Server-Leaving|Deadline-Remaining|Cold-Remaining|kv-(key|range|watch)|op/(config|evacuate)'
+platform_names+='|Store-Era|Server-Limit|Server-Leaving|Deadline-Remaining|Cold-Remaining|kv-(key|range|watch)|op/(config|evacuate)'
 platform_names+='|cold_remaining_ms|min_version|top_k|/lacewingknot/readiness|current_rev'
 if git grep -nE "$platform_names" -- lacewingknot testing; then
   echo "names of the platform outside platform/"
--- a/testing/fake_http.cc
+++ b/testing/fake_http.cc
@@ -88,7 +88,7 @@
   auto message = std::make_shared<http::response<http::string_body>>(
       static_cast<http::status>(reply.status), kHttp11);
   for (const auto& [name, value] : reply.headers) {
-    message->set(ToBoost(name), ToBoost(value));
+    message->insert(ToBoost(name), ToBoost(value));
   }
   message->body() = reply.body;
   message->prepare_payload();
