Directory: hold what a new epoch of the store lacks or brings back

After the store has returned from a copy, its contents lack the latest registrations and evacuations and list upstreams that have ended since. To follow it at once would drop live upstreams, send into an evacuated data centre and send to ended upstreams.

The first full read of a new epoch keeps missing upstreams for 2.5 s and missing evacuations for 5 s. An upstream that had been removed or draining, and is ready again under the same incarnation, is not used for 3.6 s, and only once an answer of the store after that time still has its entry. A removal that was held, so that the upstream was still in use, causes no such doubt.

--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -19,6 +19,9 @@
   entry.revision = revision;
   entry.is_relisted = true;
   entry.remove_at.reset();
+  entry.is_kept = false;
+  removals_.erase(record.id);
+  ApplyDoubt(entry, record);
   revision_ = std::max(revision_, revision);
   if (entry.record == record) return;
   if (lacks_known_change && entry.record.incarnation > record.incarnation) {
@@ -38,6 +41,11 @@
   entry.revision = revision;
   entry.is_relisted = true;
   if (entry.remove_at) return;
+  if (entry.doubted_until) {
+    entry.remove_at = now;
+    withdrawals_.erase(id);
+    return;
+  }
   RemovalEvidence evidence{.was_draining = entry.record.draining,
                            .outage_ended_at = outage_ended_at_,
                            .pause = pause_};
@@ -58,7 +66,45 @@
          kMassRemovalShare * static_cast<double>(in_use);
 }
 
-void DirectoryState::BeginListing() {
+void DirectoryState::ApplyDoubt(Entry& entry, const UpstreamRecord& record) {
+  const auto found = withdrawals_.find(record.id);
+  if (found == withdrawals_.end()) return;
+  const bool is_doubted =
+      !record.draining && record.incarnation <= found->second.incarnation;
+  if (!is_doubted) {
+    // The upstream has registered anew.
+    withdrawals_.erase(found);
+    if (std::exchange(entry.doubted_until, std::nullopt)) changed_ = true;
+  } else if (!entry.doubted_until) {
+    entry.doubted_until = confirmed_at_ + kDoubtTime;
+    changed_ = true;
+  }
+}
+
+void DirectoryState::RememberWithdrawals() {
+  for (const auto& [id, removal] : std::exchange(removals_, {})) {
+    if (*epoch_read_at_ - removal.at > kRememberRemovals) continue;
+    withdrawals_[id] = {.incarnation = removal.incarnation,
+                        .was_removed = true};
+  }
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.record.draining) continue;
+    withdrawals_[id] = {.incarnation = entry.record.incarnation};
+  }
+}
+
+void DirectoryState::RememberRemoval(const UpstreamRecord& record,
+                                     TimePoint now) {
+  std::erase_if(removals_, [&](const auto& removal) {
+    return now - removal.second.at > kRememberRemovals;
+  });
+  if (removals_.size() >= kMaxRememberedRemovals) return;
+  removals_[record.id] = {.incarnation = record.incarnation, .at = now};
+}
+
+void DirectoryState::BeginListing(std::optional<TimePoint> epoch_read_at) {
+  epoch_read_at_ = epoch_read_at;
+  if (epoch_read_at_) RememberWithdrawals();
   for (auto& [id, entry] : entries_) entry.is_relisted = false;
   removal_revisions_.clear();
   evacuation_revisions_.clear();
@@ -66,8 +112,16 @@
 
 void DirectoryState::RemoveUnlisted(const std::set<std::string>& present,
                                     std::uint64_t revision, TimePoint now) {
-  for (const auto& [id, entry] : entries_) {
-    if (present.count(id) == 0) Remove(id, revision, now);
+  for (auto& [id, entry] : entries_) {
+    if (present.count(id) != 0) continue;
+    if (epoch_read_at_ && entry.doubted_until) {
+      // Still doubted if it comes back in this epoch.
+      entry.remove_at = now;
+    } else if (epoch_read_at_ && !entry.record.draining && !entry.remove_at) {
+      entry.remove_at = *epoch_read_at_ + kKeepMissingUpstreams;
+      entry.is_kept = true;
+    }
+    Remove(id, revision, now);
   }
 }
 
@@ -76,6 +130,7 @@
   std::uint64_t& known_revision = evacuation_revisions_[data_centre];
   if (revision < known_revision) return;
   known_revision = revision;
+  kept_evacuations_.erase(data_centre);
   changed_ = evacuated_.insert(data_centre).second || changed_;
 }
 
@@ -84,14 +139,20 @@
   std::uint64_t& known_revision = evacuation_revisions_[data_centre];
   if (revision < known_revision) return;
   known_revision = revision;
+  kept_evacuations_.erase(data_centre);
   changed_ = evacuated_.erase(data_centre) > 0 || changed_;
 }
 
 void DirectoryState::EndUnlistedEvacuations(
     const std::set<std::string>& data_centres) {
+  for (const std::string& name : evacuated_) {
+    if (!epoch_read_at_ || data_centres.count(name) != 0) continue;
+    kept_evacuations_.emplace(name, *epoch_read_at_ + kKeepMissingEvacuations);
+  }
   changed_ = std::erase_if(evacuated_,
                            [&](const std::string& name) {
-                             return data_centres.count(name) == 0;
+                             return data_centres.count(name) == 0 &&
+                                    kept_evacuations_.count(name) == 0;
                            }) > 0 ||
              changed_;
 }
@@ -127,20 +188,57 @@
   }
   for (const std::string& id : due) {
     const Entry& entry = entries_[id];
+    if (entry.is_kept) ended_holds_.removed_upstreams.push_back(id);
+    RememberRemoval(entry.record, now);
     removal_revisions_[id] = entry.revision;
     entries_.erase(id);
     changed_ = true;
   }
+  EndDueHolds(now);
   return std::exchange(changed_, false);
 }
 
+void DirectoryState::EndDueHolds(TimePoint now) {
+  for (auto& [id, entry] : entries_) {
+    if (!entry.doubted_until || *entry.doubted_until > now) continue;
+    // The entry must still have been present then.
+    if (confirmed_at_ < *entry.doubted_until) {
+      entry.doubted_until = now + kDoubtExtension;
+      continue;
+    }
+    entry.doubted_until.reset();
+    withdrawals_.erase(id);
+    ended_holds_.trusted_upstreams.push_back(id);
+    changed_ = true;
+  }
+  std::erase_if(kept_evacuations_, [&](const auto& kept) {
+    if (kept.second > now) return false;
+    evacuated_.erase(kept.first);
+    ended_holds_.ended_evacuations.push_back(kept.first);
+    changed_ = true;
+    return true;
+  });
+}
+
+DirectoryState::EpochHolds DirectoryState::epoch_holds() const {
+  EpochHolds holds{.kept_evacuations = kept_evacuations_.size()};
+  for (const auto& [id, entry] : entries_) {
+    if (entry.is_kept) ++holds.kept_upstreams;
+    if (entry.doubted_until) ++holds.doubted_upstreams;
+  }
+  return holds;
+}
+
 std::optional<TimePoint> DirectoryState::NextRemovalTime() const {
   std::optional<TimePoint> next;
+  const auto add = [&next](const std::optional<TimePoint>& at) {
+    if (at && (!next || *at < *next)) next = at;
+  };
   for (const auto& [id, entry] : entries_) {
-    if (entry.remove_at && (!next || *entry.remove_at < *next)) {
-      next = entry.remove_at;
-    }
+    add(entry.remove_at);
+    add(entry.doubted_until);
   }
+  for (const auto& [name, end] : kept_evacuations_) add(end);
   return next;
 }
 
@@ -152,7 +250,13 @@
 Directory DirectoryState::Snapshot() const {
   Directory directory{.revision = revision_, .confirmed_at = confirmed_at_};
   for (const auto& [id, entry] : entries_) {
-    directory.upstreams.emplace(id, entry.record);
+    const auto withdrawal = withdrawals_.find(id);
+    const bool is_doubted =
+        entry.doubted_until && withdrawal != withdrawals_.end();
+    if (is_doubted && withdrawal->second.was_removed) continue;
+    UpstreamRecord record = entry.record;
+    if (is_doubted) record.draining = true;
+    directory.upstreams.emplace(id, std::move(record));
   }
   directory.evacuated = evacuated_;
   return directory;
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -10,6 +10,12 @@
 // time: that indicates an outage that no daemon has reported. Entries that had
 // said `draining` leave at once and do not count for that share.
 //
+// The source may return from a copy, in a new epoch, without its latest
+// changes. What is missing then is kept for a time, in which live upstreams
+// register again and operators repeat their changes. An upstream that had been
+// removed or draining and is listed as ready again may have ended since: it is
+// not used until it would have expired.
+//
 // Deterministic: takes the time as an argument and does no I/O. Not
 // thread-safe.
 //
@@ -26,6 +32,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lacewingknot/edge/upstream_directory.h"
@@ -39,6 +46,31 @@
   static constexpr Duration kRemovalDelayAfterOutage = kHoldAfterOutage;
   // No entry expires during a shorter loss of the source.
   static constexpr Duration kMinOutage = std::chrono::milliseconds(1'000);
+  // How long upstreams and evacuations are kept after the first listing of a
+  // new epoch that lacks them.
+  static constexpr Duration kKeepMissingUpstreams = kHoldAfterOutage;
+  static constexpr Duration kKeepMissingEvacuations =
+      std::chrono::milliseconds(5'000);
+  // The entry of a silent upstream has expired after three heartbeat intervals.
+  static constexpr Duration kDoubtTime = std::chrono::milliseconds(3'600);
+
+  // What differs from the source because of its return in a new epoch.
+  struct EpochHolds {
+    std::size_t kept_upstreams = 0;
+    std::size_t kept_evacuations = 0;
+    std::size_t doubted_upstreams = 0;
+  };
+  // What ceased to differ, by id or name.
+  struct EndedHolds {
+    std::vector<std::string> removed_upstreams;
+    std::vector<std::string> trusted_upstreams;
+    std::vector<std::string> ended_evacuations;
+
+    bool empty() const {
+      return removed_upstreams.empty() && trusted_upstreams.empty() &&
+             ended_evacuations.empty();
+    }
+  };
 
   explicit DirectoryState(const RemovalBudget& budget = {}) : budget_(budget) {}
 
@@ -51,7 +83,9 @@
   // also where that bears a later revision: a source that returned without its
   // last changes uses their revisions again. Only a known incarnation that is
   // later than the listed one is kept until the upstream registers again.
-  void BeginListing();
+  // `epoch_read_at`: when the listing was read, if it is the first one of a new
+  // epoch.
+  void BeginListing(std::optional<TimePoint> epoch_read_at = std::nullopt);
   // Applies a full listing: removes every entry that is not in `present`.
   // `revision` is that of the listing.
   void RemoveUnlisted(const std::set<std::string>& present,
@@ -80,8 +114,12 @@
   // Applies the deferred removals that are due. Returns whether the directory
   // has changed since the last call.
   bool ApplyDueRemovals(TimePoint now);
-  // Returns when the next deferred removal is due; empty if there is none.
+  // Returns when the next deferred removal is due, or the next hold ends that a
+  // new epoch has caused; empty if there is none.
   std::optional<TimePoint> NextRemovalTime() const;
+  EpochHolds epoch_holds() const;
+  // Returns the holds that have ended since the last call.
+  EndedHolds TakeEndedHolds() { return std::exchange(ended_holds_, {}); }
 
   // Returns the record of upstream `id`; null if it is not known. Valid until
   // the next change.
@@ -96,6 +134,13 @@
   static constexpr Duration kMassRemovalWindow =
       std::chrono::milliseconds(1'500);
 
+  // Most removals that are remembered, and for how long: a copy of the source
+  // is some seconds old.
+  static constexpr std::size_t kMaxRememberedRemovals = 4'096;
+  static constexpr Duration kRememberRemovals = std::chrono::minutes(10);
+  // Until the next attempt to end a doubt that the source has not confirmed.
+  static constexpr Duration kDoubtExtension = std::chrono::milliseconds(200);
+
   // Whether the removals of the last moment are too many for one cause other
   // than an outage. Counts one more, at `now`.
   bool CountRemoval(TimePoint now);
@@ -105,12 +150,39 @@
     std::uint64_t revision = 0;
     bool is_relisted = true;  // Applied since the last BeginListing().
     std::optional<TimePoint> remove_at;
+    // The removal is due to a new epoch that lacks the entry.
+    bool is_kept = false;
+    // Until then the upstream is not used, whatever the record says.
+    std::optional<TimePoint> doubted_until;
   };
+  struct Removal {
+    std::int64_t incarnation = 0;
+    TimePoint at{};
+  };
+  // What an upstream was before the epoch rose.
+  struct Withdrawal {
+    std::int64_t incarnation = 0;
+    bool was_removed = false;  // Else it was draining.
+  };
+
+  // Collects the upstreams that were removed or draining before a new epoch.
+  void RememberWithdrawals();
+  // Records the doubt in a record that is applied to `entry`, or its end.
+  void ApplyDoubt(Entry& entry, const UpstreamRecord& record);
+  void EndDueHolds(TimePoint now);
+  void RememberRemoval(const UpstreamRecord& record, TimePoint now);
 
   RemovalBudget budget_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::uint64_t> removal_revisions_;
   std::set<std::string> evacuated_;
+  // Evacuations that the source lacks since its new epoch, and their ends.
+  std::map<std::string, TimePoint> kept_evacuations_;
+  std::map<std::string, Removal> removals_;        // Of this epoch.
+  std::map<std::string, Withdrawal> withdrawals_;  // Of earlier epochs.
+  // Of the current listing, if it is the first one of its epoch.
+  std::optional<TimePoint> epoch_read_at_;
+  EndedHolds ended_holds_;
   std::map<std::string, std::uint64_t> evacuation_revisions_;
   std::optional<TimePoint> lost_since_;
   std::vector<TimePoint> removal_times_;  // Within kMassRemovalWindow.
