Cold upstreams: notice restarts without a lost last connection

Cause: in the soak a cold upstream got 13 requests in one second (bound 12.5; the soak reports the first excess, so 13 is not the peak).

Result: a broken-off connection is a sign unless an older one remains. A first connection to an upstream whose state neither an answer nor the store has confirmed for 500 ms makes it presumed cold until a health check answers. The limiter counts requests when they are sent, those to the warm upstream for one second. Services without a limit for cold upstreams are served as before; without health checks the second rule does not apply.

--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -310,6 +310,10 @@
       .is_local = record.data_centre == options_.data_centre,
       .process_started_at = options_.started_at,
       .has_short_attempts = shard_services_.count(record.service) > 0,
+      .store_age =
+          [metrics](TimePoint now) {
+            return metrics->StoreConfirmationAge(now);
+          },
       .on_health_change =
           [metrics](const UpstreamRecord& about, std::string_view health,
                     std::string_view cause) {
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -36,6 +36,9 @@
            .pass_rate = [this](TimePoint time) { return PassRate(time); }}) {}
 
 void Service::Add(UpstreamPtr upstream) {
+  auto& limiter = cold_rate_limiters_[upstream->record().id];
+  if (!limiter) limiter = std::make_shared<ColdRateLimiter>();
+  upstream->set_cold_rate_limiter(limiter);
   const auto rank = [&](const UpstreamPtr& candidate) {
     return std::pair(
         !candidate->is_local(),
@@ -70,7 +73,7 @@
   UpdateDataCentres();
   const TimePoint now = BootClock::now();
   std::erase_if(cold_rate_limiters_, [now](const auto& limiter) {
-    return limiter.second.IsUnused(now);
+    return limiter.second.use_count() == 1 && limiter.second->IsUnused(now);
   });
 }
 
@@ -85,14 +88,6 @@
   return PreferredUpstream() != nullptr;
 }
 
-bool Service::PassesColdRateLimit(const Upstream& upstream,
-                                  TimePoint now) const {
-  if (!upstream.IsCold(now)) return true;
-  const auto limiter = cold_rate_limiters_.find(upstream.record().id);
-  return limiter == cold_rate_limiters_.end() ||
-         limiter->second.Allows(cold_share_, now);
-}
-
 std::vector<UpstreamPtr> Service::Candidates(const ReplicaCriteria& criteria,
                                              std::size_t subset_size,
                                              TimePoint now) {
@@ -101,7 +96,7 @@
   for (const UpstreamPtr& upstream : upstreams_) {
     if (!upstream->is_usable()) continue;
     if (++usable_count > subset_size) break;
-    if (!PassesColdRateLimit(*upstream, now)) {
+    if (!upstream->PassesColdRateLimit(cold_share_, now)) {
       upstream->VerifyCold(now);
       continue;
     }
@@ -140,10 +135,7 @@
   const auto chosen = ChooseReplica(loads, rotation_++, options_.choice);
   if (!chosen) return nullptr;
   const UpstreamPtr& upstream = candidates[*chosen];
-  if (upstream->IsCold(now)) {
-    cold_rate_limiters_[upstream->record().id].OnSent(now);
-    upstream->VerifyCold(now);
-  }
+  if (upstream->IsCold(now)) upstream->VerifyCold(now);
   return upstream;
 }
 
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -154,7 +154,6 @@
   // and the limits of cold upstreams allow.
   std::vector<UpstreamPtr> Candidates(const ReplicaCriteria& criteria,
                                       std::size_t subset_size, TimePoint now);
-  bool PassesColdRateLimit(const Upstream& upstream, TimePoint now) const;
   // Attempts per second that usable upstreams which take one at `time` take.
   double PassRate(TimePoint time) const;
 
@@ -167,8 +166,10 @@
   std::vector<std::string> data_centres_;         // Sorted.
   std::vector<std::string> usable_data_centres_;  // Sorted.
   // By upstream id: a new incarnation is limited together with the former one,
-  // as requests for that may have reached it.
-  std::map<std::string, ColdRateLimiter, std::less<>> cold_rate_limiters_;
+  // as requests for that may have reached it. Shared with the upstreams, which
+  // count what they send.
+  std::map<std::string, std::shared_ptr<ColdRateLimiter>, std::less<>>
+      cold_rate_limiters_;
   ExtraLoadWindow extra_load_budget_;
   Duration mean_latency_ = std::chrono::milliseconds(20);
   std::size_t rotation_ = 0;
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -186,6 +186,7 @@
     if (!connection) continue;
     AttemptPtr attempt = std::move(queue_[i]);
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+    CountSent(*attempt, now);
     connection->Send(std::move(attempt), now);
     return true;
   }
@@ -211,6 +212,7 @@
 }
 
 void Upstream::OpenConnection() {
+  PresumeColdIfUnconfirmed();
   const std::weak_ptr<Upstream> weak = weak_from_this();
   auto connection = std::make_shared<UpstreamConnection>(
       *options_.io,
@@ -261,8 +263,11 @@
 
 void Upstream::OnClosed(bool opened, std::string_view cause) {
   RemoveClosed();
-  const bool is_cut_off = IsBrokenOffByUpstream(cause) && !HasOpenConnection();
-  if (!opened || is_cut_off) OnRestartSign(cause);
+  if (!opened) {
+    OnRestartSign(cause);
+  } else if (IsBrokenOffByUpstream(cause)) {
+    OnBrokenOff(cause);
+  }
   if (!opened) {
     RecordFailure("connect_failed", BootClock::now());
     if (connections_.empty()) FailQueue("connect_failed");
@@ -274,9 +279,8 @@
   const TimePoint now = BootClock::now();
   RecordOutcome(*attempt, result, now);
   RecordStatement(result.reply, now);
-  if (result.end == AttemptEnd::kLost && IsBrokenOffByUpstream(result.cause) &&
-      !HasOpenConnection()) {
-    OnRestartSign(result.cause);
+  if (result.end == AttemptEnd::kLost && IsBrokenOffByUpstream(result.cause)) {
+    OnBrokenOff(result.cause);
   }
   if (retired_) CloseIdle("retired");
   // The freed connection goes to queued attempts before the session receives
@@ -328,6 +332,7 @@
   // Without a status there was no answer; another upstream's answer says
   // nothing about this one.
   if (reply.status == 0 || reply.status == kMisdirectedStatus) return;
+  answered_at_ = now;
   OnStatementChange(gate_.OnAnswer(reply.statement, now), {});
   if (reply.cold_remaining) {
     const bool was_unverified = cold_presumption_.IsUnverified(now);
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lacewingknot/edge/attempt.h"
@@ -25,6 +26,7 @@
 #include "lacewingknot/edge/upstream_connection.h"
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/cold_presumption.h"
+#include "lacewingknot/policy/cold_rate_limiter.h"
 #include "lacewingknot/policy/connection_ramp.h"
 #include "lacewingknot/policy/replica_choice.h"
 #include "lacewingknot/policy/slowness.h"
@@ -57,6 +59,9 @@
     // Every attempt at this upstream is abandoned soon if it gets no answer, so
     // that dead connections need no keep-alive probes.
     bool has_short_attempts = false;
+    // Returns how long ago the store confirmed what it holds; empty if that is
+    // not known. May be empty.
+    std::function<std::optional<Duration>(TimePoint now)> store_age;
     // Called when the upstream's health state changes, for the log.
     std::function<void(const UpstreamRecord& record, std::string_view health,
                        std::string_view cause)>
@@ -118,6 +123,13 @@
     std::string health_path;  // Empty if there are no health checks.
   };
   void set_cold_start(ColdStart cold_start);
+  // Sets what counts the requests that are sent to the upstream under this id.
+  void set_cold_rate_limiter(std::shared_ptr<ColdRateLimiter> limiter) {
+    cold_rate_limiter_ = std::move(limiter);
+  }
+  // Whether the upstream is warm, or one more request at `now` keeps within
+  // `share` requests a second.
+  bool PassesColdRateLimit(double share, TimePoint now) const;
   // Whether the upstream is cold by its record or presumed to be.
   bool IsCold(TimePoint now) const;
   // Asks an upstream that is only presumed cold how long it is cold, unless it
@@ -178,6 +190,12 @@
   static constexpr Duration kHealthCheckInterval =
       std::chrono::milliseconds(250);
   static constexpr Duration kHealthCheckTimeout = std::chrono::seconds(1);
+  // A process that ends breaks off its connections within this time. One that
+  // was opened before and remains shows that the process runs.
+  static constexpr Duration kBreakOffSpan = std::chrono::milliseconds(500);
+  // Without connections a restart in this time is unlikely: processes need
+  // about as long to start.
+  static constexpr Duration kStateLifetime = std::chrono::milliseconds(500);
   // Health checks precede queued requests.
   static constexpr std::int64_t kHealthCheckPriority = -1;
   // Half-life of the failure share while the upstream is not used.
@@ -200,6 +218,13 @@
   // Records a sign that the upstream has restarted: queued attempts must be
   // chosen again under the limits of cold upstreams.
   void OnRestartSign(std::string_view cause);
+  // The upstream broke off a connection.
+  void OnBrokenOff(std::string_view cause);
+  // Presumes the upstream cold, and asks it, if a first connection opens and
+  // neither an answer nor the store has confirmed its state lately.
+  void PresumeColdIfUnconfirmed();
+  // Counts a request that is sent at `now`.
+  void CountSent(const Attempt& attempt, TimePoint now);
   bool HasOpenConnection() const;
   void CheckHealth();
   void Enqueue(AttemptPtr attempt);
@@ -233,7 +258,12 @@
   UpstreamGate gate_;
   ColdStart cold_start_;
   ColdPresumption cold_presumption_;
+  std::shared_ptr<ColdRateLimiter> cold_rate_limiter_ =
+      std::make_shared<ColdRateLimiter>();
+  // First of the connections that broke off within kBreakOffSpan.
+  TimePoint broken_off_at_{};
   TimePoint next_health_check_at_{};
+  TimePoint answered_at_{};   // Latest answer.
   double failure_share_ = 0;  // Smoothed share of failed attempts.
   TimePoint failure_share_updated_at_{};
   int consecutive_failures_ = 0;
--- a/lacewingknot/edge/upstream_cold_start.cc
+++ b/lacewingknot/edge/upstream_cold_start.cc
@@ -1,6 +1,7 @@
 // The part of Upstream that notices a cold start which its record does not
 // show.
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -18,6 +19,20 @@
   return options_.record.cold_until > now || cold_presumption_.Holds(now);
 }
 
+bool Upstream::PassesColdRateLimit(double share, TimePoint now) const {
+  if (!IsCold(now)) return true;
+  const auto waiting = std::count_if(
+      queue_.begin(), queue_.end(),
+      [](const AttemptPtr& attempt) { return !attempt->is_health_check; });
+  return cold_rate_limiter_->Allows(share, static_cast<std::size_t>(waiting),
+                                    now);
+}
+
+void Upstream::CountSent(const Attempt& attempt, TimePoint now) {
+  if (!cold_start_.is_limited || attempt.is_health_check) return;
+  cold_rate_limiter_->OnSent(/*as_warm=*/!IsCold(now), now);
+}
+
 void Upstream::VerifyCold(TimePoint now) {
   if (cold_start_.health_path.empty() || now < next_health_check_at_ ||
       !cold_presumption_.IsUnverified(now) || !is_usable()) {
@@ -53,6 +68,37 @@
          CountInState(UpstreamConnection::State::kBusy) > 0;
 }
 
+void Upstream::OnBrokenOff(std::string_view cause) {
+  const TimePoint now = BootClock::now();
+  if (now - broken_off_at_ > kBreakOffSpan) broken_off_at_ = now;
+  // Newer connections prove nothing: a load balancer, or the backlog of the
+  // listening socket, accepts them also while no process answers.
+  const bool has_older = std::any_of(
+      connections_.begin(), connections_.end(),
+      [this](const ConnectionPtr& connection) {
+        return connection->state() != UpstreamConnection::State::kClosed &&
+               connection->opened_at() < broken_off_at_;
+      });
+  if (!has_older) OnRestartSign(cause);
+}
+
+void Upstream::PresumeColdIfUnconfirmed() {
+  const TimePoint now = BootClock::now();
+  // Without health checks a warm upstream would be limited for its cold time.
+  if (!cold_start_.is_limited || cold_start_.health_path.empty() ||
+      !options_.store_age || HasOpenConnection() ||
+      now - answered_at_ < kStateLifetime ||
+      cold_presumption_.IsUnverified(now)) {
+    return;
+  }
+  const auto age = options_.store_age(now);
+  if (!age || *age < kStateLifetime) return;
+  if (cold_presumption_.OnRestartSign(now) && options_.on_cold_presumption) {
+    options_.on_cold_presumption(options_.record, true, "unconfirmed");
+  }
+  VerifyCold(now);
+}
+
 void Upstream::OnRestartSign(std::string_view cause) {
   if (!cold_start_.is_limited || retired_) return;
   next_health_check_at_ = {};
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -95,6 +95,7 @@
   socket_.non_blocking(true, ignored);
   state_ = State::kIdle;
   idle_since_ = BootClock::now();
+  opened_at_ = idle_since_;
   Read();
   if (options_.on_open) options_.on_open();
 }
--- a/lacewingknot/edge/upstream_connection.h
+++ b/lacewingknot/edge/upstream_connection.h
@@ -78,6 +78,8 @@
   State state() const { return state_; }
   const AttemptPtr& attempt() const { return attempt_; }
   TimePoint idle_since() const { return idle_since_; }
+  // When the connection opened; before that TimePoint::max().
+  TimePoint opened_at() const { return opened_at_; }
   // How long the upstream keeps an idle connection open, if it states that.
   std::optional<Duration> idle_timeout() const { return idle_timeout_; }
 
@@ -116,6 +118,7 @@
   AnswerBudget::Reservation held_;  // For `pending_` and the reader's answer.
   std::array<char, 4096> chunk_{};
   TimePoint idle_since_{};
+  TimePoint opened_at_ = TimePoint::max();
   std::optional<Duration> idle_timeout_;
   int stray_answers_ = 0;
   int interim_answers_ = 0;
--- a/lacewingknot/policy/cold_presumption_test.cc
+++ b/lacewingknot/policy/cold_presumption_test.cc
@@ -79,8 +79,8 @@
         presumptions[i].OnRestartSign(now);
       }
       if (presumptions[i].Holds(now)) {
-        if (!limiters[i].Allows(kShare, now)) continue;
-        limiters[i].OnSent(now);
+        if (!limiters[i].Allows(kShare, 0, now)) continue;
+        limiters[i].OnSent(false, now);
       }
       if (now < down_at) continue;
       if (now < up_at) {
--- a/lacewingknot/policy/fleet_shares_test.cc
+++ b/lacewingknot/policy/fleet_shares_test.cc
@@ -20,25 +20,47 @@
   TimePoint now(std::chrono::hours(1));
   int allowed = 0;
   for (int ms = 0; ms < 1'000; ms += 10) {
-    if (!gate.Allows(2, now + milliseconds(ms))) continue;
-    gate.OnSent(now + milliseconds(ms));
+    if (!gate.Allows(2, 0, now + milliseconds(ms))) continue;
+    gate.OnSent(false, now + milliseconds(ms));
     ++allowed;
   }
   EXPECT_EQ(allowed, 2);
-  EXPECT_TRUE(gate.Allows(2, now + milliseconds(1'010)));
+  EXPECT_TRUE(gate.Allows(2, 0, now + milliseconds(1'010)));
 }
 
 TEST(ColdRateLimiterTest, Gate_ShareBelowOne_AllowsOneInSeveralSeconds) {
   ColdRateLimiter gate;
   const TimePoint now(std::chrono::hours(1));
-  ASSERT_TRUE(gate.Allows(0.25, now));
-  gate.OnSent(now);
-  EXPECT_FALSE(gate.Allows(0.25, now + seconds(3)));
-  EXPECT_TRUE(gate.Allows(0.25, now + seconds(4)));
+  ASSERT_TRUE(gate.Allows(0.25, 0, now));
+  gate.OnSent(false, now);
+  EXPECT_FALSE(gate.Allows(0.25, 0, now + seconds(3)));
+  EXPECT_TRUE(gate.Allows(0.25, 0, now + seconds(4)));
+}
+
+// A daemon may notice the restart only after it has sent a full share.
+TEST(ColdRateLimiterTest, Gate_SentAsWarm_CountsForOneSecond) {
+  ColdRateLimiter gate;
+  const TimePoint now(std::chrono::hours(1));
+  gate.OnSent(true, now);
+  EXPECT_FALSE(gate.Allows(0.25, 0, now + milliseconds(999)));
+  EXPECT_TRUE(gate.Allows(0.25, 0, now + seconds(1)));
+  gate.OnSent(true, now);
+  gate.OnSent(true, now);
+  EXPECT_FALSE(gate.Allows(2, 0, now + milliseconds(999)));
+}
+
+// Guards against a burst of requests that are allowed while a connection opens.
+TEST(ColdRateLimiterTest, Gate_AllowedOnesWaiting_CountLikeSentOnes) {
+  ColdRateLimiter gate;
+  const TimePoint now(std::chrono::hours(1));
+  EXPECT_TRUE(gate.Allows(2, 1, now));
+  EXPECT_FALSE(gate.Allows(2, 2, now));
+  gate.OnSent(false, now);
+  EXPECT_FALSE(gate.Allows(2, 1, now));
 }
 
 TEST(ColdRateLimiterTest, Gate_NoShare_AllowsNothing) {
-  EXPECT_FALSE(ColdRateLimiter().Allows(0, TimePoint(seconds(1))));
+  EXPECT_FALSE(ColdRateLimiter().Allows(0, 0, TimePoint(seconds(1))));
 }
 
 RC_GTEST_PROP(WeightedRoundRobinProperty,
