Invalid statuses: accept only three digits from 100 to 599

Cause: several paths passed on or acted upon what stood in the place of the status.

Result: net/http_status.h states what is accepted.

--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -41,10 +41,12 @@
 // HTTP status of an upstream that is not the expected one.
 inline constexpr int kMisdirectedStatus = 421;
 
-// Causes of attempts that are lost because their answer is too large, or
-// because too many bytes of answers are held.
+// Causes of attempts that are lost because their answer is too large, because
+// too many bytes of answers are held, or because the answer has no valid status
+// (net/http_status.h).
 inline constexpr std::string_view kCauseAnswerTooLarge = "answer_too_large";
 inline constexpr std::string_view kCauseAnswerBudget = "answer_budget";
+inline constexpr std::string_view kCauseInvalidStatus = "invalid_status";
 
 // Receives answers that were dropped for one of these causes: who sent them,
 // and how many bytes of the answer were held.
--- a/lacewingknot/edge/http_messages.cc
+++ b/lacewingknot/edge/http_messages.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "lacewingknot/net/http_status.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -180,8 +182,9 @@
 
 void UpstreamReplyReader::on_response_impl(int status, string_view reason,
                                            int version, error_code& error) {
-  constexpr int kLowestStatus = 100;
-  if (status < kLowestStatus) error = http::error::bad_status;
+  if (!IsFinalStatus(status) && !IsInterimStatus(status)) {
+    error = http::error::bad_status;
+  }
   version_ = version;
   reply_.status = status;
   if (collect_headers_) reply_.reason = ToString(reason);
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -4,6 +4,7 @@
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/net/http_connection.h"
+#include "lacewingknot/net/http_status.h"
 
 namespace lacewingknot::edge {
 
@@ -12,10 +13,10 @@
 namespace {
 
 // Makes `result` a lost attempt, because its answer was dropped.
-void MarkDropped(RelayResult& result) {
-  if (result.end != AttemptEnd::kAnswered) return;
+void MarkDropped(RelayResult& result, std::string_view cause) {
   result.end = AttemptEnd::kLost;
-  result.cause = kCauseAnswerBudget;
+  result.status = 0;
+  result.cause = cause;
   result.signature.clear();
   result.records = {};
 }
@@ -160,7 +161,9 @@
     // The records of a batch cannot be told apart.
     message.records = {};
     for (RelayResult& result : message.results) {
-      if (result.records.empty()) MarkDropped(result);
+      if (result.end == AttemptEnd::kAnswered && result.records.empty()) {
+        MarkDropped(result, kCauseAnswerBudget);
+      }
     }
     held.emplace();
   }
@@ -183,8 +186,21 @@
 void RelayLink::FinishAttempt(RelayResult& result) {
   const auto found = pending_attempts_.find(result.number);
   if (found == pending_attempts_.end()) return;
+  // A relay of an earlier release passes on what its upstream sent, so this
+  // does not cost the link.
+  const bool has_status =
+      result.end == AttemptEnd::kAnswered || result.end == AttemptEnd::kRefused;
+  if (has_status && !IsFinalStatus(result.status)) {
+    if (options_.on_answer_dropped) {
+      options_.on_answer_dropped(options_.address, kCauseInvalidStatus,
+                                 result.records.size());
+    }
+    MarkDropped(result, kCauseInvalidStatus);
+  }
   auto held = Hold(result.records.size());
-  if (!held) MarkDropped(result);
+  if (!held && result.end == AttemptEnd::kAnswered) {
+    MarkDropped(result, kCauseAnswerBudget);
+  }
   const AttemptPtr attempt = found->second;
   pending_attempts_.erase(found);
   attempt->upstream = std::move(result.upstream);
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -45,7 +45,7 @@
 using WireStopNotice = std::tuple<std::uint32_t>;
 
 // Causes that upstreams and relays report for attempts without an answer.
-constexpr std::array<std::string_view, 27> kKnownCauses{
+constexpr std::array<std::string_view, 28> kKnownCauses{
     "",
     kCauseRelayLost,
     "unusable",
@@ -72,7 +72,8 @@
     kCauseBetterElsewhere,
     "closed_while_idle",
     kCauseAnswerTooLarge,
-    kCauseAnswerBudget};
+    kCauseAnswerBudget,
+    kCauseInvalidStatus};
 
 struct Packer {
   msgpack::sbuffer& bytes;
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -216,6 +216,10 @@
       DropAnswer(kCauseAnswerTooLarge);
       return;
     }
+    if (error == http::error::bad_status) {
+      DropAnswer(kCauseInvalidStatus);
+      return;
+    }
     if (error) {
       EndExchange({.end = AttemptEnd::kLost, .cause = "malformed_answer"},
                   false);
--- a/lacewingknot/http/client.cc
+++ b/lacewingknot/http/client.cc
@@ -3,6 +3,10 @@
 #include <cpprest/http_client.h>
 
 #include <future>
+#include <stdexcept>
+#include <string>
+
+#include "lacewingknot/net/http_status.h"
 
 namespace lacewingknot {
 
@@ -38,6 +42,11 @@
         [response](const std::string& text) {
           ClientReply reply;
           reply.status = response.status_code();
+          // The library accepts any number.
+          if (!IsFinalStatus(reply.status)) {
+            throw std::runtime_error("invalid HTTP status " +
+                                     std::to_string(reply.status));
+          }
           reply.body = text;
           for (const auto& [name, value] : response.headers()) {
             reply.headers[name] = value;
--- a/lacewingknot/net/http_connection.cc
+++ b/lacewingknot/net/http_connection.cc
@@ -3,6 +3,9 @@
 #include <sys/socket.h>
 
 #include <charconv>
+#include <string>
+
+#include "lacewingknot/net/http_status.h"
 
 namespace lacewingknot {
 
@@ -72,6 +75,7 @@
 void HttpConnection::Exchange(const HttpCall& call, ReplyCallback on_reply) {
   constexpr int kHttp11 = 11;
   on_reply_ = std::move(on_reply);
+  interim_replies_ = 0;
   request_.emplace(http::string_to_verb(ToBoost(call.method)),
                    ToBoost(call.target), kHttp11);
   request_->set(http::field::host, endpoint_.address().to_string());
@@ -120,10 +124,21 @@
     FinishExchange(failure);
     return;
   }
+  const auto status = static_cast<int>(parser_->get().result_int());
+  if (IsInterimStatus(status) && ++interim_replies_ <= kMaxInterimReplies) {
+    ReadReply();
+    return;
+  }
+  if (!IsFinalStatus(status)) {
+    Close();
+    FinishExchange(Error{ErrorType::kMalformedAnswer,
+                         "invalid HTTP status " + std::to_string(status)});
+    return;
+  }
   ++replies_;
   auto message = parser_->release();
   HttpReply reply;
-  reply.status = static_cast<int>(message.result_int());
+  reply.status = status;
   reply.body = std::move(message.body());
   const bool is_keep_alive = message.keep_alive();
   reply.headers = std::move(message.base());
--- a/lacewingknot/net/http_connection.h
+++ b/lacewingknot/net/http_connection.h
@@ -62,6 +62,10 @@
   // The most bytes buffered of an incomplete head, chunk header or trailer; a
   // reply with a longer one fails with kMalformedAnswer.
   static constexpr std::size_t kMaxBufferedBytes = 64 << 10;
+  // The most interim (1xx) replies to one call; they are skipped. A call with
+  // more, or with an invalid status (net/http_status.h), fails with
+  // kMalformedAnswer.
+  static constexpr int kMaxInterimReplies = 8;
 
   struct Options {
     // Called when the peer closes the connection, or sends unexpected bytes,
@@ -122,6 +126,7 @@
   std::optional<Parser> parser_;
   ReplyCallback on_reply_;
   std::size_t replies_ = 0;
+  int interim_replies_ = 0;  // To the present call.
   bool closed_locally_ = false;
 };
 
