Replicas are preferred below a learned number of requests in flight

Cause: the choice of a replica assumed that an upstream takes as many requests at a time as it states slots, and that every request in flight costs the same. Upstreams that slow down long before their slots are taken were filled while others had room.

policy/concurrency_limit.h learns a limit and the time at a depth from answers and refusals; replicas below their limit that respond are preferred, and one at its limit is still used if no other is left. Off unless [concurrency_limit] enabled is true; then also the mechanism concurrency_limit, E1215, three histograms by service, and `limit` and `next_us` in the rows of an explanation. Estimates are not exchanged between daemons.

--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -74,6 +74,8 @@
     EventInfo{Event::kUpstreamStatementMalformed,
               "upstream_statement_malformed", Level::kWarning},
     EventInfo{Event::kAnswerDropped, "answer_dropped", Level::kWarning},
+    EventInfo{Event::kConcurrencyLimitChanged, "concurrency_limit_changed",
+              Level::kInfo},
     EventInfo{Event::kAnswerRejected, "answer_rejected", Level::kWarning,
               kPerRequest},
     EventInfo{Event::kQueryPartial, "query_partial", Level::kInfo, kPerRequest},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -72,6 +72,7 @@
   kUpstreamLeaving = 1209,
   kUpstreamStatementMalformed = 1210,
   kAnswerDropped = 1211,
+  kConcurrencyLimitChanged = 1215,
   kQueryPartial = 1301,
   kQueryRefused = 1302,
   kWriteUnknown = 1303,
--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -86,6 +86,8 @@
   std::string upstream;
   TimePoint submitted_at{};
   TimePoint sent_at{};
+  // Requests in flight at the upstream when it was sent, itself included.
+  std::int64_t depth = 1;
   bool sent = false;
   bool finished = false;
   bool abandoned = false;
@@ -101,6 +103,13 @@
   }
 };
 
+// What an upstream with a learned limit showed by one answer.
+struct AttemptObservation {
+  std::int64_t limit = 0;
+  std::int64_t depth = 0;    // In flight when it was sent, itself included.
+  double time_multiple = 0;  // Of the usual time of such a request.
+};
+
 using AttemptPtr = std::shared_ptr<Attempt>;
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -109,6 +109,23 @@
             {"unlogged", std::exchange(unlogged_dropped_answers_, 0)}});
 }
 
+void EdgeCore::OnLimitChange(const UpstreamRecord& about, std::int64_t from,
+                             std::int64_t to) {
+  const TimePoint now = BootClock::now();
+  if (now - limit_change_logged_at_ < kLimitLogInterval) {
+    ++unlogged_limit_changes_;
+    return;
+  }
+  limit_change_logged_at_ = now;
+  LogEvent(Event::kConcurrencyLimitChanged,
+           {{"upstream", about.id},
+            {"service", about.service},
+            {"from", from},
+            {"to", to},
+            {"slots", about.slots},
+            {"unlogged", std::exchange(unlogged_limit_changes_, 0)}});
+}
+
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
@@ -305,6 +322,8 @@
     return;
   }
   EdgeMetrics* metrics = options_.metrics;
+  const bool learns_limit =
+      options_.concurrency_limit && is_enabled(Mechanism::kConcurrencyLimit);
   auto upstream = std::make_shared<Upstream>(Upstream::Options{
       .io = options_.io,
       .timers = &timers_,
@@ -347,7 +366,13 @@
           [this](const UpstreamRecord& about, const UpstreamGate& gate,
                  const UpstreamGate::Changes& changes, std::string_view from) {
             OnStatementChange(about, gate, changes, from);
-          }});
+          },
+      .learns_limit = learns_limit,
+      .on_attempt_observed =
+          learns_limit ? metrics->MakeLimitObserver(record.service) : nullptr,
+      .on_limit_change =
+          [this](const UpstreamRecord& about, std::int64_t from,
+                 std::int64_t to) { OnLimitChange(about, from, to); }});
   upstreams_[record.id] = upstream;
   const TimePoint now = BootClock::now();
   if (const auto known = statements_.Find(record.id, record.incarnation, now)) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -97,6 +97,9 @@
     double extra_ratio = 0;
     double extra_attempts = 0;
     MechanismSet disabled;  // Mechanisms that operators switched off.
+    // Whether limits of requests in flight are learned, unless the mechanism is
+    // switched off.
+    bool concurrency_limit = false;
     // Called when a query is refused because the directory holds too few
     // upstreams.
     std::function<void()> on_upstreams_lacking = [] {};
@@ -184,6 +187,8 @@
       std::chrono::milliseconds(250);
   // Least time between two logged answers that were dropped.
   static constexpr Duration kAnswerDroppedLogInterval = std::chrono::seconds(1);
+  // Least time between two logged changes of a limit of requests in flight.
+  static constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
   // Interval of checks for due reports of demand.
   static constexpr Duration kDemandCheckInterval =
       std::chrono::milliseconds(250);
@@ -191,6 +196,9 @@
   // Counts and logs an answer that was dropped because of its size.
   void OnAnswerDropped(std::string_view from, std::string_view cause,
                        std::size_t bytes);
+  // Logs that the limit of requests in flight at an upstream has changed.
+  void OnLimitChange(const UpstreamRecord& about, std::int64_t from,
+                     std::int64_t to);
   void Preconnect();
   ServicePtr FindOrCreateService(const std::string& name);
   void AddUpstream(const UpstreamRecord& record);
@@ -217,6 +225,8 @@
       std::make_shared<AnswerBudget>(AnswerBudget::Options{});
   TimePoint answer_dropped_logged_at_{};
   std::size_t unlogged_dropped_answers_ = 0;
+  TimePoint limit_change_logged_at_{};
+  std::size_t unlogged_limit_changes_ = 0;
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -34,6 +34,7 @@
              .extra_ratio = options_.settings.extra_ratio,
              .extra_attempts = options_.settings.extra_attempts,
              .disabled = options_.settings.disabled_mechanisms,
+             .concurrency_limit = options_.settings.concurrency_limit,
              .on_upstreams_lacking = options_.on_upstreams_lacking,
              .on_statements =
                  [this](std::vector<StatementReport> reports) {
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -13,6 +13,20 @@
   return buckets;
 }
 
+// Of numbers of requests in flight.
+const prometheus::Histogram::BucketBoundaries& DepthBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{
+      1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 64};
+  return buckets;
+}
+
+// Of multiples of the usual time.
+const prometheus::Histogram::BucketBoundaries& MultipleBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{
+      0.5, 0.75, 1, 1.25, 1.5, 2, 2.5, 3, 4, 6, 10};
+  return buckets;
+}
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -71,6 +85,20 @@
                        .Name("lacewingknot_edge_store_calls_total")
                        .Help("Calls to the configuration store by outcome.")
                        .Register(*registry_)),
+      limits_(prometheus::BuildHistogram()
+                  .Name("lacewingknot_edge_concurrency_limit")
+                  .Help("Learned limit of the upstream of each attempt.")
+                  .Register(*registry_)),
+      depths_(prometheus::BuildHistogram()
+                  .Name("lacewingknot_edge_attempt_depth")
+                  .Help("Requests in flight at the upstream of each attempt.")
+                  .Register(*registry_)),
+      time_multiples_(
+          prometheus::BuildHistogram()
+              .Name("lacewingknot_edge_attempt_time_multiple")
+              .Help("Time of attempts as a multiple of the usual time, by the "
+                    "part of the limit that was in use.")
+              .Register(*registry_)),
       connections_opened_(
           prometheus::BuildCounter()
               .Name("lacewingknot_edge_connections_opened_total")
@@ -195,6 +223,31 @@
 
 void EdgeMetrics::OnConnectionOpened() { connections_opened_.Increment(); }
 
+std::string EdgeMetrics::ServiceLabel(std::string_view service) {
+  const std::lock_guard lock(mutex_);
+  if (services_.find(service) != services_.end()) return std::string(service);
+  if (services_.size() >= kMaxServiceLabels) return "other";
+  services_.emplace(service);
+  return std::string(service);
+}
+
+std::function<void(const AttemptObservation& observation)>
+EdgeMetrics::MakeLimitObserver(std::string_view service) {
+  const std::string label = ServiceLabel(service);
+  auto& limit = limits_.Add({{"service", label}}, DepthBuckets());
+  auto& depth = depths_.Add({{"service", label}}, DepthBuckets());
+  auto& low = time_multiples_.Add({{"service", label}, {"depth", "up_to_half"}},
+                                  MultipleBuckets());
+  auto& high = time_multiples_.Add({{"service", label}, {"depth", "over_half"}},
+                                   MultipleBuckets());
+  return [&limit, &depth, &low, &high](const AttemptObservation& observation) {
+    limit.Observe(static_cast<double>(observation.limit));
+    depth.Observe(static_cast<double>(observation.depth));
+    auto& multiple = observation.depth * 2 <= observation.limit ? low : high;
+    multiple.Observe(observation.time_multiple);
+  };
+}
+
 void EdgeMetrics::OnStoreCall(std::string_view outcome) {
   store_calls_.Add({{"outcome", std::string(outcome)}}).Increment();
   if (outcome == "ok") {
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -2,7 +2,7 @@
 //
 // Requests are labelled by route. At most kMaxRouteLabels routes get a label of
 // their own, which bounds the number of time series; all others share the label
-// "other".
+// "other". Learned limits are labelled by service in the same way.
 //
 // Thread-safe.
 
@@ -16,10 +16,12 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -53,6 +55,10 @@
   void OnAnswerDropped(std::string_view cause);
   void OnUpstreamHealthChange(std::string_view health);
   void OnConnectionOpened();
+  // Returns a function that records attempts at an upstream of `service` with a
+  // learned limit of requests in flight. It must not outlive this object.
+  std::function<void(const AttemptObservation& observation)> MakeLimitObserver(
+      std::string_view service);
   // An `outcome` of "ok" confirms what is known of the store.
   void OnStoreCall(std::string_view outcome);
   void set_config_version(std::uint64_t version);
@@ -70,10 +76,15 @@
   // Most routes with a label of their own.
   static constexpr std::size_t kMaxRouteLabels = 64;
 
+  // Most services with a label of their own.
+  static constexpr std::size_t kMaxServiceLabels = 64;
+
   std::string RouteLabel(std::string_view route);
+  std::string ServiceLabel(std::string_view service);
 
   std::mutex mutex_;
   std::map<std::string, int, std::less<>> routes_;  // Guarded by mutex_.
+  std::set<std::string, std::less<>> services_;     // Guarded by mutex_.
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& request_seconds_;
@@ -93,6 +104,9 @@
   prometheus::Family<prometheus::Counter>& answers_dropped_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Histogram>& limits_;
+  prometheus::Family<prometheus::Histogram>& depths_;
+  prometheus::Family<prometheus::Histogram>& time_multiples_;
   prometheus::Counter& connections_opened_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& upstreams_;
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 17> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 18> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -27,6 +27,7 @@
                                                       "processor_share",
                                                       "disabled_mechanisms",
                                                       "extra_load",
+                                                      "concurrency_limit",
                                                       "stop"};
 
 class SettingsReader {
@@ -135,6 +136,18 @@
     }
   }
 
+  // `path` is a dotted path as for ReadNumber().
+  void ReadFlag(const toml::table& root, std::string_view path, bool& value) {
+    const auto view = root.at_path(path);
+    const toml::node* node = view.node();
+    if (node == nullptr) return;
+    if (const auto flag = node->value_exact<bool>()) {
+      value = *flag;
+      return;
+    }
+    AddFault(*node, path, "wrong type", "true or false");
+  }
+
   void ReadLogLevel(const toml::table& root) {
     const toml::node* node = root.get("log_level");
     if (node == nullptr) return;
@@ -176,6 +189,8 @@
   reader.ReadNumber(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
   reader.ReadNumber(root, "extra_load.attempts", 0, 1e6,
                     settings.extra_attempts);
+  reader.ReadFlag(root, "concurrency_limit.enabled",
+                  settings.concurrency_limit);
   reader.ReadDuration<std::chrono::duration<double>>(
       root, "stop.grace_seconds", 0.5, 3'600, settings.stop_grace);
   reader.ReadDuration<std::chrono::duration<double, std::milli>>(
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -19,6 +19,8 @@
 //   [extra_load]                        # limits of the fleet for a service
 //   ratio = 0.2
 //   attempts = 52
+//   [concurrency_limit]
+//   enabled = true                      # learn what each upstream takes well
 //   [stop]
 //   grace_seconds = 6                   # time until the process is killed
 //
@@ -62,6 +64,9 @@
   double processor_share = 1;
   double extra_ratio = 0.1;
   double extra_attempts = 10;
+  // Whether upstreams get a limit of requests in flight that is learned from
+  // their answers (policy/concurrency_limit.h).
+  bool concurrency_limit = false;
   Duration stop_grace = std::chrono::seconds(6);
   MechanismSet disabled_mechanisms;
 };
--- a/lacewingknot/edge/edge_settings_test.cc
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -24,6 +24,8 @@
 [extra_load]
 ratio = 0.2
 attempts = 52
+[concurrency_limit]
+enabled = true
 [stop]
 grace_seconds = 6
 )";
@@ -54,6 +56,7 @@
   EXPECT_EQ(MechanismNames(parsed.settings.disabled_mechanisms),
             "hedging,relays");
   EXPECT_DOUBLE_EQ(parsed.settings.extra_attempts, 52);
+  EXPECT_TRUE(parsed.settings.concurrency_limit);
 }
 
 TEST_F(EdgeSettingsTest, File_UnknownKey_IsAcceptedAndReported) {
@@ -75,6 +78,7 @@
       {"[\"10.1.0.9:8106\",", "[5,", "peers"},
       {"ratio = 0.2", "ratio = 2", "extra_load.ratio"},
       {"attempts = 52", "attempts = \"many\"", "extra_load.attempts"},
+      {"enabled = true", "enabled = 1", "concurrency_limit.enabled"},
       {"grace_seconds = 6", "grace_seconds = 0", "stop.grace_seconds"},
       {"\"warning\"", "\"loud\"", "log_level"},
       {"\"hedging\"", "\"hedgin\"", "disabled_mechanisms"},
--- a/lacewingknot/edge/explanation.cc
+++ b/lacewingknot/edge/explanation.cc
@@ -56,7 +56,11 @@
           .in_flight = load.in_flight,
           .queued = load.queued,
           .stated_rate = upstream.gate().rate_limiter().stated().value_or(0),
-          .own_rate = upstream.gate().rate_limiter().OwnRate()};
+          .own_rate = upstream.gate().rate_limiter().OwnRate(),
+          .limit = load.limit,
+          .next_us = load.time_at_next_depth
+                         ? std::optional(ToMicros(*load.time_at_next_depth))
+                         : std::nullopt};
 }
 
 }  // namespace
@@ -98,6 +102,8 @@
                          {"queued", upstream.queued},
                          {"stated_rate", upstream.stated_rate},
                          {"own_rate", upstream.own_rate}});
+    if (upstream.limit) upstreams.back()["limit"] = *upstream.limit;
+    if (upstream.next_us) upstreams.back()["next_us"] = *upstream.next_us;
   }
   return nlohmann::json{
              {"service", explanation.service},
--- a/lacewingknot/edge/explanation.h
+++ b/lacewingknot/edge/explanation.h
@@ -32,6 +32,10 @@
   // it states no rate.
   double stated_rate = 0;
   double own_rate = 0;
+  // Requests in flight that it handles well, and the expected time of one more
+  // request; empty if this is not estimated.
+  std::optional<std::int64_t> limit;
+  std::optional<std::int64_t> next_us;
 };
 
 struct ServiceExplanation {
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -123,7 +123,10 @@
 ReplicaLoad Service::LoadOf(const Upstream& upstream, Duration mean_latency,
                             TimePoint now) const {
   ReplicaLoad load = upstream.CurrentLoad(mean_latency, now);
-  if (!options_.choice.uses_slowness) load.expected_latency = mean_latency;
+  if (!options_.choice.uses_slowness) {
+    load.expected_latency = mean_latency;
+    load.time_at_next_depth.reset();
+  }
   if (!options_.choice.uses_backoff) load.is_backing_off = false;
   return load;
 }
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -1,6 +1,7 @@
 #include "lacewingknot/edge/upstream.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace lacewingknot::edge {
@@ -9,10 +10,14 @@
 Upstream::Upstream(Options options)
     : options_(std::move(options)),
       ramp_(options_.process_started_at),
+      limit_({.seed = static_cast<std::uint64_t>(
+                  BootClock::now().time_since_epoch().count())}),
       // Daemons must not draw the same lots.
       gate_({.random_seed = static_cast<std::uint64_t>(
                  BootClock::now().time_since_epoch().count())}) {
   was_usable_ = is_usable();
+  limit_.set_slots(options_.record.slots);
+  reported_limit_ = limit_.limit();
 }
 
 void Upstream::Submit(AttemptPtr attempt) {
@@ -176,6 +181,12 @@
     if (!connection) continue;
     AttemptPtr attempt = std::move(queue_[i]);
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+    if (options_.learns_limit) {
+      attempt->depth = static_cast<std::int64_t>(
+                           CountInState(UpstreamConnection::State::kBusy)) +
+                       1;
+      limit_.OnSent(attempt->depth, now);
+    }
     connection->Send(std::move(attempt), now);
     return true;
   }
@@ -263,6 +274,7 @@
 void Upstream::OnExchange(const AttemptPtr& attempt, AttemptResult result) {
   const TimePoint now = BootClock::now();
   RecordOutcome(*attempt, result, now);
+  if (options_.learns_limit) RecordDepth(*attempt, result, now);
   RecordStatement(result.reply, now);
   if (result.end == AttemptEnd::kLost && IsBrokenOffByUpstream(result.cause) &&
       !HasOpenConnection()) {
@@ -314,6 +326,50 @@
   }
 }
 
+void Upstream::RecordDepth(const Attempt& attempt, const AttemptResult& result,
+                           TimePoint now) {
+  if (attempt.is_health_check || attempt.mean_latency <= Duration::zero()) {
+    return;
+  }
+  const ConcurrencyLimit::Sample sample{.depth = attempt.depth,
+                                        .sent_at = attempt.sent_at,
+                                        .usual = attempt.mean_latency};
+  switch (result.end) {
+    case AttemptEnd::kAnswered:
+      // The time of an error says nothing about that of the work.
+      if (!IsSuccessStatus(result.reply.status)) return;
+      limit_.OnAnswer(sample, now);
+      break;
+    case AttemptEnd::kRefused:
+      if (result.reply.status == kMisdirectedStatus ||
+          result.reply.statement.is_leaving) {
+        return;
+      }
+      limit_.OnRefusal(sample, now);
+      break;
+    case AttemptEnd::kLost:
+      limit_.OnLost(sample, now);
+      return;
+    case AttemptEnd::kNotSent:
+      return;
+  }
+  // A refusal takes no time.
+  if (options_.on_attempt_observed && result.end == AttemptEnd::kAnswered) {
+    options_.on_attempt_observed(
+        {.limit = limit_.limit(),
+         .depth = attempt.depth,
+         .time_multiple = static_cast<double>((now - attempt.sent_at).count()) /
+                          static_cast<double>(attempt.mean_latency.count())});
+  }
+  const std::int64_t limit = limit_.limit();
+  if (std::abs(limit - reported_limit_) * 4 < reported_limit_) return;
+  if (limit == reported_limit_) return;
+  const std::int64_t before = std::exchange(reported_limit_, limit);
+  if (options_.on_limit_change) {
+    options_.on_limit_change(options_.record, before, limit);
+  }
+}
+
 void Upstream::RecordStatement(const UpstreamReply& reply, TimePoint now) {
   // Without a status there was no answer; another upstream's answer says
   // nothing about this one.
@@ -441,6 +497,15 @@
   load.expected_latency =
       std::chrono::duration_cast<Duration>(usual * slowness_.Factor(now));
   load.failure_share = failure_share_.Value(now);
+  if (options_.learns_limit) {
+    load.limit = std::min(limit_.Limit(now), ramp_.Allowed(now));
+    const std::int64_t requests = load.in_flight + load.queued;
+    load.time_at_next_depth = limit_.ExpectedTime(
+        requests + 1, usual,
+        std::chrono::duration_cast<Duration>(load.expected_latency *
+                                             DepthFactor(requests, load.slots)),
+        now);
+  }
   return load;
 }
 
--- a/lacewingknot/edge/upstream.h
+++ b/lacewingknot/edge/upstream.h
@@ -25,6 +25,7 @@
 #include "lacewingknot/edge/upstream_connection.h"
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/cold_presumption.h"
+#include "lacewingknot/policy/concurrency_limit.h"
 #include "lacewingknot/policy/connection_ramp.h"
 #include "lacewingknot/policy/failure_share.h"
 #include "lacewingknot/policy/replica_choice.h"
@@ -79,6 +80,16 @@
                        const UpstreamGate::Changes& changes,
                        std::string_view from)>
         on_statement_change;
+    // Whether a limit of requests in flight is learned from the answers.
+    bool learns_limit = false;
+    // Called when an attempt is answered, with the limit then in force.
+    std::function<void(const AttemptObservation& observation)>
+        on_attempt_observed;
+    // Called when the limit differs by a quarter or more from the one of the
+    // last call, or from the slots.
+    std::function<void(const UpstreamRecord& record, std::int64_t from,
+                       std::int64_t to)>
+        on_limit_change;
   };
 
   explicit Upstream(Options options);
@@ -100,6 +111,7 @@
   // ApplyUsability() must follow.
   void UpdateRecord(UpstreamRecord record) {
     options_.record = std::move(record);
+    limit_.set_slots(options_.record.slots);
   }
   // Sets whether the upstream's data centre is evacuated. ApplyUsability() must
   // follow.
@@ -205,6 +217,9 @@
   void OnExchange(const AttemptPtr& attempt, AttemptResult result);
   void RecordOutcome(const Attempt& attempt, const AttemptResult& result,
                      TimePoint now);
+  // Passes the outcome to the estimate of the limit, if that is enabled.
+  void RecordDepth(const Attempt& attempt, const AttemptResult& result,
+                   TimePoint now);
   void RecordFailure(std::string_view cause, TimePoint now);
   void RecordStatement(const UpstreamReply& reply, TimePoint now);
   void OnStatementChange(const UpstreamGate::Changes& changes,
@@ -228,6 +243,8 @@
   bool dispatch_again_ = false;
   ConnectionRamp ramp_;
   SlownessEstimator slowness_;
+  ConcurrencyLimit limit_;
+  std::int64_t reported_limit_ = 1;  // By `on_limit_change`.
   UpstreamGate gate_;
   ColdStart cold_start_;
   ColdPresumption cold_presumption_;
--- a/lacewingknot/policy/mechanisms.cc
+++ b/lacewingknot/policy/mechanisms.cc
@@ -6,13 +6,15 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<MechanismInfo, 15> kMechanisms{{
+constexpr std::array<MechanismInfo, 16> kMechanisms{{
     {Mechanism::kAdmission, "admission",
      "a part of the queries is refused at once while many fail by overload"},
     {Mechanism::kBackoff, "backoff",
      "upstreams get no attempts for a while after consecutive failures"},
     {Mechanism::kBatchingDelay, "batching_delay",
      "relays hold a part for some milliseconds to send several together"},
+    {Mechanism::kConcurrencyLimit, "concurrency_limit",
+     "upstreams get no more requests at a time than they handle well, if set"},
     {Mechanism::kDeclining, "declining",
      "relays decline attempts that another data centre can answer sooner"},
     {Mechanism::kFailureShare, "failure_share",
--- a/lacewingknot/policy/mechanisms.h
+++ b/lacewingknot/policy/mechanisms.h
@@ -28,6 +28,7 @@
   kAdmission,
   kBackoff,
   kBatchingDelay,
+  kConcurrencyLimit,
   kDeclining,
   kFailureShare,
   kHedging,
--- a/lacewingknot/policy/replica_choice.cc
+++ b/lacewingknot/policy/replica_choice.cc
@@ -35,13 +35,24 @@
   return load.oldest_in_flight_age > overdue_age;
 }
 
+double DepthFactor(std::int64_t requests, std::int64_t slots) {
+  const auto others = static_cast<double>(requests);
+  const auto parallel = static_cast<double>(std::max<std::int64_t>(slots, 1));
+  const double waiting = std::max(0.0, others + 1 - parallel) / parallel;
+  return 1 + waiting + kSharedSlotCost * others;
+}
+
+bool HasRoom(const ReplicaLoad& load, const ReplicaChoiceOptions& options) {
+  if (!load.limit) return true;
+  return load.in_flight + load.queued < *load.limit &&
+         !IsSuspect(load, options);
+}
+
 Duration ExpectedTime(const ReplicaLoad& load,
                       const ReplicaChoiceOptions& options) {
-  const auto requests = static_cast<double>(load.in_flight + load.queued);
-  const auto slots = static_cast<double>(std::max<std::int64_t>(load.slots, 1));
-  const double waiting = std::max(0.0, requests + 1 - slots) / slots;
-  Duration time =
-      Scaled(load.expected_latency, 1 + waiting + kSharedSlotCost * requests);
+  Duration time = load.time_at_next_depth.value_or(
+      Scaled(load.expected_latency,
+             DepthFactor(load.in_flight + load.queued, load.slots)));
   time += Scaled(options.failure_cost, load.failure_share);
   if (!load.is_local) time += options.remote_penalty;
   if (IsSuspect(load, options)) time += load.oldest_in_flight_age;
@@ -52,13 +63,18 @@
                                          std::size_t rotation,
                                          const ReplicaChoiceOptions& options) {
   std::optional<std::size_t> best;
+  bool best_has_room = false;
   Duration best_time{};
   for (std::size_t step = 0; step < replicas.size(); ++step) {
     const std::size_t i = (rotation + step) % replicas.size();
     if (replicas[i].is_backing_off) continue;
     const Duration time = ExpectedTime(replicas[i], options);
-    if (best && time >= best_time) continue;
+    const bool has_room = HasRoom(replicas[i], options);
+    if (best && (has_room == best_has_room ? time >= best_time : !has_room)) {
+      continue;
+    }
     best = i;
+    best_has_room = has_room;
     best_time = time;
   }
   return best;
--- a/lacewingknot/policy/replica_choice.h
+++ b/lacewingknot/policy/replica_choice.h
@@ -45,6 +45,10 @@
   bool is_local = false;     // Runs in this daemon's data centre.
   // Temporarily excluded, because it recently refused or broke connections.
   bool is_backing_off = false;
+  // Requests in flight that it handles well, and the time of one more request
+  // (policy/concurrency_limit.h); empty if this is not estimated.
+  std::optional<std::int64_t> limit;
+  std::optional<Duration> time_at_next_depth;
 };
 
 struct ReplicaChoiceOptions {
@@ -79,12 +83,22 @@
 // Returns whether the replica has a request in flight that is overdue.
 bool IsSuspect(const ReplicaLoad& load, const ReplicaChoiceOptions& options);
 
+// Returns the multiple of the expected latency that a request takes if
+// `requests` others are in flight or queued, without any estimate for the
+// replica.
+double DepthFactor(std::int64_t requests, std::int64_t slots);
+
+// Returns whether the replica is below its limit and responds. True without a
+// limit.
+bool HasRoom(const ReplicaLoad& load, const ReplicaChoiceOptions& options);
+
 // Returns the expected time of one more request to the replica.
 Duration ExpectedTime(const ReplicaLoad& load,
                       const ReplicaChoiceOptions& options);
 
 // Returns the index of the replica to use; empty if all of them are backing
-// off. `rotation` breaks ties, so that equal replicas share the requests.
+// off. Replicas without room are used if no other is left. `rotation` breaks
+// ties, so that equal replicas share the requests.
 std::optional<std::size_t> ChooseReplica(std::span<const ReplicaLoad> replicas,
                                          std::size_t rotation,
                                          const ReplicaChoiceOptions& options);
--- a/lacewingknot/policy/replica_choice_test.cc
+++ b/lacewingknot/policy/replica_choice_test.cc
@@ -66,6 +66,43 @@
   EXPECT_EQ(Choose({failing, Idle()}), 1U);
 }
 
+// Guards against filling a replica that slows down while another has room.
+TEST_F(ReplicaChoiceTest, Replica_AtItsLimit_IsUsedOnlyIfNoOtherHasRoom) {
+  ReplicaLoad full = Idle();
+  full.in_flight = 1;
+  full.limit = 1;
+  ReplicaLoad slow = Idle();
+  slow.expected_latency = milliseconds(160);
+  slow.limit = 2;
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Choose({full, slow}), 1U);
+  slow.is_backing_off = true;
+  EXPECT_EQ(Choose({full, slow}), 0U);
+  slow.is_backing_off = false;
+  slow.queued = 2;
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Choose({full, slow}), 0U);
+}
+
+// Guards against preferring a paused replica because it is below its limit.
+TEST_F(ReplicaChoiceTest, Replica_SuspectBelowItsLimit_IsNotPreferred) {
+  ReplicaLoad full = Idle();
+  full.in_flight = 2;
+  full.limit = 2;
+  ReplicaLoad paused = Idle();
+  paused.in_flight = 1;
+  paused.limit = 2;
+  paused.oldest_in_flight_age = milliseconds(200);
+  EXPECT_EQ(Choose({full, paused}), 0U);
+}
+
+TEST_F(ReplicaChoiceTest, Replica_TimeAtNextDepthKnown_ReplacesTheFormula) {
+  ReplicaLoad busy = Idle();
+  busy.in_flight = 1;
+  const Duration without = ExpectedTime(busy, options_);
+  EXPECT_EQ(without, milliseconds(28));
+  busy.time_at_next_depth = milliseconds(21);
+  EXPECT_EQ(ExpectedTime(busy, options_), milliseconds(21));
+}
+
 TEST_F(ReplicaChoiceTest, Replicas_AllBackingOff_NoneIsChosen) {
   ReplicaLoad backing_off = Idle();
   backing_off.is_backing_off = true;
--- a/testing/edge_fixture.cc
+++ b/testing/edge_fixture.cc
@@ -33,7 +33,7 @@
       });
 }
 
-EdgeFixture::EdgeFixture()
+EdgeFixture::EdgeFixture(bool concurrency_limit)
     : core_(
           {.io = &io_,
            .names = &names_,
@@ -42,7 +42,8 @@
            .started_at = BootClock::now() - std::chrono::minutes(1),
            .data_centre = "here",
            .extra_ratio = 0.2,
-           .extra_attempts = 100}),
+           .extra_attempts = 100,
+           .concurrency_limit = concurrency_limit}),
       server_({.core = &core_,
                .listen = "127.0.0.1:0",
                .stop_grace = std::chrono::seconds(6)}) {
--- a/testing/edge_fixture.h
+++ b/testing/edge_fixture.h
@@ -74,7 +74,8 @@
     std::vector<FakeRequest> requests;
   };
 
-  EdgeFixture();
+  // `concurrency_limit` is the setting of that name.
+  explicit EdgeFixture(bool concurrency_limit = false);
 
   // Adds an upstream on a free port. The reference stays valid for the life of
   // the fixture.
