--- a/lacewingknot/edge/team_table_test.cc
+++ b/lacewingknot/edge/team_table_test.cc
@@ -9,6 +9,7 @@
 
 TeamTable MakeTable(int keys) {
   std::vector<TeamTable::Entry> entries;
+  entries.reserve(static_cast<std::size_t>(keys));
   for (int i = 0; i < keys; ++i) {
     entries.push_back({.team = {.name = "team-" + std::to_string(i)},
                        .keys = {DigestOfKey("key-" + std::to_string(i))}});
