--- a/lacewingknot/edge/directory_state.cc
+++ b/lacewingknot/edge/directory_state.cc
@@ -83,13 +83,21 @@
 
 void DirectoryState::RememberWithdrawals() {
   for (const auto& [id, removal] : std::exchange(removals_, {})) {
-    if (*epoch_read_at_ - removal.at > kRememberRemovals) continue;
     withdrawals_[id] = {.incarnation = removal.incarnation,
-                        .was_removed = true};
+                        .was_removed = true,
+                        .at = removal.at};
   }
+  std::erase_if(withdrawals_, [&](const auto& withdrawal) {
+    const auto& [id, mark] = withdrawal;
+    const auto entry = entries_.find(id);
+    const bool is_doubted =
+        entry != entries_.end() && entry->second.doubted_until;
+    return !is_doubted && *epoch_read_at_ - mark.at > kRememberRemovals;
+  });
   for (const auto& [id, entry] : entries_) {
     if (!entry.record.draining) continue;
-    withdrawals_[id] = {.incarnation = entry.record.incarnation};
+    withdrawals_[id] = {.incarnation = entry.record.incarnation,
+                        .at = *epoch_read_at_};
   }
 }
 
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -163,6 +163,7 @@
   struct Withdrawal {
     std::int64_t incarnation = 0;
     bool was_removed = false;  // Else it was draining.
+    TimePoint at{};            // Of its removal or of the new epoch.
   };
 
   // Collects the upstreams that were removed or draining before a new epoch.
--- a/lacewingknot/edge/directory_state_test.cc
+++ b/lacewingknot/edge/directory_state_test.cc
@@ -410,5 +410,14 @@
   EXPECT_TRUE(IsUsed("up-3"));
 }
 
+// Guards against memory that grows with each upstream that ever left.
+TEST_F(DirectoryEpochTest, Entry_RemovedLongBeforeNewEpoch_IsNotDoubted) {
+  state_.Remove("up-3", ++revision_, now_);
+  ASSERT_FALSE(IsUsed("up-3"));
+  Pass(std::chrono::minutes(11));
+  ListFirst(RecordsBut(-1));
+  EXPECT_TRUE(IsUsed("up-3"));
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
