Contents of the store by peers: most daemons call the store no more

Each daemon reads and watches the store by itself, so that calls grow with the number of daemons, and a daemon that the store refuses learns nothing.

Off by default.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -138,7 +138,32 @@
            [&](const lacewingknot::StoreReport& report) {
              store->OnPeerReport(report);
            },
-       .on_upstreams_lacking = [&] { store->OnUpstreamsLacking(); }});
+       .on_upstreams_lacking = [&] { store->OnUpstreamsLacking(); },
+       .on_store_confirmed_at =
+           [&](const std::string& from, lacewingknot::TimePoint confirmed_at) {
+             store->OnPeerConfirmed(from, confirmed_at);
+           },
+       .on_contents_wanted = [&] { store->OnContentsWanted(); }});
+  std::optional<lacewingknot::platform::StoreReader::PeerOptions> by_peers;
+  if (daemon.passes_contents()) {
+    by_peers = {
+        .peers = [&] { return daemon.contents_peers(); },
+        .on_update =
+            [&](lacewingknot::edge::ContentsUpdate update) {
+              daemon.PublishContents(std::move(update));
+            },
+        .on_from_peer =
+            [&](bool from_peer) { daemon.OnContentsFromPeer(from_peer); },
+        .on_received =
+            [&](std::string_view kind) {
+              daemon.metrics().OnContentsMessage("received", kind);
+            },
+        .on_source_left =
+            [&](std::string_view reason) {
+              daemon.metrics().OnContentsSourceLeft(reason);
+            },
+        .on_fallback = [&] { daemon.metrics().OnContentsFallback(); }};
+  }
   store.emplace(lacewingknot::platform::StoreReader::Options{
       .address = parsed.settings.store,
       .on_routes = [&](auto table) { daemon.OnRoutes(std::move(table)); },
@@ -156,7 +181,8 @@
       .is_sentinel = [&] { return daemon.is_sentinel(); },
       .max_staleness = parsed.settings.store_max_staleness,
       .max_apply_delay = parsed.settings.changes_in_force,
-      .removal_budget = {.drain = parsed.settings.upstream_drain}});
+      .removal_budget = {.drain = parsed.settings.upstream_drain},
+      .contents_by_peers = std::move(by_peers)});
   if (const auto started = daemon.Start(); !started) {
     LogEvent(Event::kDaemonFailed, {{"detail", started.error().detail}});
     lacewingknot::FlushLog(std::chrono::seconds(1));
--- /dev/null
+++ b/lacewingknot/edge/contents_server.cc
@@ -0,0 +1,246 @@
+#include "lacewingknot/edge/contents_server.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "lacewingknot/edge/contents_client.h"
+#include "lacewingknot/edge/internal/contents_link.h"
+#include "lacewingknot/edge/internal/listening.h"
+
+namespace lacewingknot::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Whether a follower with the contents of `request` has what `report` states.
+bool HasContents(const ContentsMessage& request, const ContentsUpdate& latest) {
+  const StoreState& own = latest.report.state;
+  const StoreState& known = request.state;
+  return request.epoch == latest.epoch && own.is_known() && known.is_known() &&
+         own.digest == known.digest &&
+         std::max(own.since, known.since) <= std::min(own.until, known.until);
+}
+
+}  // namespace
+
+ContentsServer::ContentsServer(asio::io_context& io, Options options)
+    : options_(std::move(options)), io_(io), acceptor_(io), timer_(io) {}
+
+Result<void> ContentsServer::Start() {
+  if (const auto bound = internal::BindAndListen(
+          acceptor_, ContentsAddress(options_.gossip_address));
+      !bound) {
+    return bound.error();
+  }
+  Accept();
+  ScheduleConfirmation();
+  return Ok();
+}
+
+void ContentsServer::Accept() {
+  if (!acceptor_.is_open()) return;
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      const auto retry = std::make_shared<asio::steady_timer>(
+          io_, internal::kAcceptRetryDelay);
+      retry->async_wait([this, retry](boost::system::error_code) { Accept(); });
+      return;
+    }
+    // The socket is closed if there are too many followers.
+    if (followers_.size() < kMaxFollowers) {
+      const std::uint64_t number = next_follower_++;
+      Follower& follower = followers_[number];
+      follower.link = std::make_shared<internal::ContentsLink>(
+          std::move(socket),
+          internal::ContentsLink::Options{
+              .max_frame_bytes = kMaxContentsRequestBytes,
+              .on_message =
+                  [this, number](const ContentsMessage& message) {
+                    const auto found = followers_.find(number);
+                    if (found != followers_.end()) {
+                      OnRequest(found->second, message);
+                    }
+                  },
+              .on_closed =
+                  [this, number](std::string_view) {
+                    followers_.erase(number);
+                  }});
+      follower.link->Start();
+    }
+    Accept();
+  });
+}
+
+void ContentsServer::OnRequest(Follower& follower,
+                               const ContentsMessage& request) {
+  const bool is_first = !std::exchange(follower.has_asked, true);
+  if (!is_first || request.kind != ContentsKind::kRequest) return;
+  const TimePoint now = BootClock::now();
+  if (!has_contents_) {
+    follower.link->Send(std::make_shared<const std::string>(
+        EncodeContentsFrame(MakeMessage(ContentsKind::kEmpty, now))));
+    options_.on_wanted();
+    return;
+  }
+  follower.is_in_step = true;
+  if (HasContents(request, latest_)) {
+    follower.link->Send(std::make_shared<const std::string>(
+        EncodeContentsFrame(MakeMessage(ContentsKind::kConfirmation, now))));
+    options_.on_sent("confirmation");
+  } else if (const FramePtr frame = MakeSnapshot(now)) {
+    follower.link->Send(frame);
+    options_.on_sent("snapshot");
+  }
+}
+
+void ContentsServer::Publish(ContentsUpdate update) {
+  asio::post(io_, [this, update = std::move(update)]() mutable {
+    Apply(std::move(update));
+  });
+}
+
+void ContentsServer::Stop() {
+  asio::post(io_, [this] {
+    boost::system::error_code ignored;  // Nothing is accepted any more.
+    acceptor_.close(ignored);
+    for (auto& [number, follower] : followers_) follower.link->Close();
+    followers_.clear();
+  });
+}
+
+void ContentsServer::Apply(ContentsUpdate update) {
+  const TimePoint now = BootClock::now();
+  if (!has_contents_ && !update.is_snapshot) return;
+  const bool is_first = !std::exchange(has_contents_, true);
+  const bool has_changes = !update.items.empty();
+  const std::uint64_t base = latest_.current_revision;
+  // A source reads everything again after each loss of the store, mostly to
+  // find the same contents.
+  const bool is_same = HasContents(
+      {.epoch = update.epoch, .state = update.report.state}, latest_);
+  const std::string changes =
+      update.is_snapshot ? "" : EncodeContentsItems(update.items);
+  const Duration items_age = now - update.read_at;
+  ApplyItems(update);
+  const bool is_snapshot = update.is_snapshot;
+  latest_ = std::move(update);
+  latest_.items = {};
+  if (is_snapshot && (is_first || !is_same)) {
+    SendSnapshots(now);
+  } else if (has_changes && !is_snapshot) {
+    ContentsMessage message = MakeMessage(ContentsKind::kChanges, now);
+    message.base_revision = base;
+    std::string frame = EncodeContentsFrame(message, changes, items_age);
+    if (frame.empty()) {
+      SendSnapshots(now);
+    } else {
+      SendToFollowers(std::make_shared<const std::string>(std::move(frame)),
+                      "changes");
+    }
+  } else {
+    SendToFollowers(std::make_shared<const std::string>(EncodeContentsFrame(
+                        MakeMessage(ContentsKind::kConfirmation, now))),
+                    "confirmation");
+  }
+}
+
+void ContentsServer::ApplyItems(ContentsUpdate& update) {
+  if (update.is_snapshot) items_.clear();
+  if (update.is_snapshot || !update.items.empty()) encoded_items_ = {};
+  for (ContentsItem& item : update.items) {
+    if (item.deleted) {
+      items_.erase(item.key);
+      continue;
+    }
+    items_[item.key] = {.value = std::move(item.value),
+                        .revision = item.revision,
+                        .refused = item.refused,
+                        .read_at = update.read_at - item.age};
+  }
+}
+
+ContentsMessage ContentsServer::MakeMessage(ContentsKind kind,
+                                            TimePoint now) const {
+  const auto age_of = [now](TimePoint at) {
+    return at == TimePoint{} ? std::nullopt : std::optional<Duration>(now - at);
+  };
+  const StoreReport& report = latest_.report;
+  return {.kind = kind,
+          .epoch = latest_.epoch,
+          .current_revision = latest_.current_revision,
+          .last_page_revision = latest_.last_page_revision,
+          .revision = report.revision,
+          .state = report.state,
+          .confirmation_age = age_of(report.confirmed_at),
+          .unbroken_for = age_of(report.unbroken_since),
+          .lost_for = age_of(latest_.lost_since.value_or(TimePoint{})),
+          .pause = latest_.pause,
+          .hops = latest_.hops};
+}
+
+ContentsServer::FramePtr ContentsServer::MakeSnapshot(TimePoint now) {
+  if (encoded_items_.empty()) {
+    std::vector<ContentsItem> items;
+    items.reserve(items_.size());
+    for (const auto& [key, item] : items_) {
+      items.push_back({.key = key,
+                       .value = item.value,
+                       .revision = item.revision,
+                       .refused = item.refused,
+                       .age = now - item.read_at});
+    }
+    encoded_items_ = EncodeContentsItems(items);
+    encoded_at_ = now;
+  }
+  std::string frame =
+      EncodeContentsFrame(MakeMessage(ContentsKind::kSnapshot, now),
+                          encoded_items_, now - encoded_at_);
+  if (frame.empty()) return nullptr;
+  return std::make_shared<const std::string>(std::move(frame));
+}
+
+void ContentsServer::SendSnapshots(TimePoint now) {
+  if (followers_.empty()) return;
+  const FramePtr frame = MakeSnapshot(now);
+  if (!frame) return;
+  for (auto& [number, follower] : followers_) {
+    if (!follower.has_asked) continue;
+    follower.is_in_step = true;
+    follower.link->Send(frame);
+    options_.on_sent("snapshot");
+  }
+}
+
+void ContentsServer::SendToFollowers(const FramePtr& frame,
+                                     std::string_view kind) {
+  for (auto& [number, follower] : followers_) {
+    if (!follower.is_in_step) continue;
+    follower.link->Send(frame);
+    options_.on_sent(kind);
+  }
+}
+
+void ContentsServer::ScheduleConfirmation() {
+  timer_.expires_after(kConfirmationInterval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    if (!followers_.empty()) {
+      const TimePoint now = BootClock::now();
+      const auto frame =
+          std::make_shared<const std::string>(EncodeContentsFrame(
+              MakeMessage(has_contents_ ? ContentsKind::kConfirmation
+                                        : ContentsKind::kEmpty,
+                          now)));
+      for (auto& [number, follower] : followers_) {
+        if (follower.has_asked) follower.link->Send(frame);
+      }
+    }
+    ScheduleConfirmation();
+  });
+}
+
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/directory_state.h
+++ b/lacewingknot/edge/directory_state.h
@@ -67,6 +67,9 @@
   // Records that the source is asked for changes: those that its answer brings
   // were confirmed after its previous answer.
   void OnSourceAsked(TimePoint now);
+  // The same for changes that a peer passes on: they were confirmed up to
+  // `pause` before they arrived.
+  void OnChangesPassedOn(Duration pause) { pause_ = pause; }
   // Records since when the source has answered a peer without fail, and its
   // last answer there.
   void OnPeerReport(TimePoint unbroken_since, TimePoint confirmed_at);
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -134,6 +134,7 @@
           .on_members =
               [this](std::span<const Member> members) { OnMembers(members); },
           .on_store_report = options_.on_store_report,
+          .on_store_confirmed_at = options_.on_store_confirmed_at,
           .on_statements =
               [this](std::vector<StatementReport> reports, std::string from) {
                 if (!shares_statements()) return;
@@ -150,9 +151,45 @@
               },
           .on_statements_wanted =
               [this](const std::string& address) { SendStatements(address); }});
+  if (passes_contents()) StartContentsServer();
   return gossip_->Start();
 }
 
+void EdgeDaemon::StartContentsServer() {
+  contents_server_.emplace(
+      control_io_,
+      ContentsServer::Options{.gossip_address = options_.settings.gossip_listen,
+                              .on_wanted = options_.on_contents_wanted,
+                              .on_sent = [this](std::string_view kind) {
+                                metrics_.OnContentsMessage("sent", kind);
+                              }});
+  const auto started = contents_server_->Start();
+  if (started) return;
+  // Followers that choose this daemon go on to another one.
+  LogEvent(Event::kContentsRefused, {{"reason", started.error().detail}});
+}
+
+bool EdgeDaemon::passes_contents() const {
+  return options_.settings.store_contents_by_peers &&
+         !options_.settings.gossip_listen.empty() &&
+         !options_.settings.disabled_mechanisms.Contains(
+             Mechanism::kContentsByPeers);
+}
+
+ContentsPeers EdgeDaemon::contents_peers() const {
+  return gossip_ ? gossip_->contents_peers() : ContentsPeers();
+}
+
+void EdgeDaemon::PublishContents(ContentsUpdate update) {
+  metrics_.set_store_confirmed_at(update.report.confirmed_at);
+  if (contents_server_) contents_server_->Publish(std::move(update));
+}
+
+void EdgeDaemon::OnContentsFromPeer(bool from_peer) {
+  metrics_.set_contents_from_peer(from_peer);
+  if (gossip_) gossip_->set_follows_source(from_peer);
+}
+
 void EdgeDaemon::OnFleetSize(std::size_t size) {
   fleet_size_ = size;
   RunOnTrafficThread([this, size] { core_.set_fleet_size(size); });
@@ -303,6 +340,7 @@
            {{"grace_ms", ToMillis(options_.settings.stop_grace)}});
   UpdateReadiness();
   if (gossip_) gossip_->AnnounceStop();
+  if (contents_server_) contents_server_->Stop();
   RunOnTrafficThread([this] {
     relay_server_.AnnounceStop();
     server_.Drain([this] {
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -20,6 +20,7 @@
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/blackboard/section.h"
+#include "lacewingknot/edge/contents_server.h"
 #include "lacewingknot/edge/control_server.h"
 #include "lacewingknot/edge/edge_core.h"
 #include "lacewingknot/edge/edge_server.h"
@@ -40,6 +41,11 @@
     // Called on the traffic thread when a query is refused because the
     // directory holds too few upstreams.
     std::function<void()> on_upstreams_lacking = [] {};
+    // Called with when the store confirmed the contents of daemon `from`.
+    std::function<void(const std::string& from, TimePoint confirmed_at)>
+        on_store_confirmed_at;
+    // Called when a daemon asks this one for contents that it does not have.
+    std::function<void()> on_contents_wanted = [] {};
   };
 
   explicit EdgeDaemon(Options options);
@@ -55,6 +61,14 @@
   void SetStoreConfirmed(const StoreReport& report);
   // Whether other daemons ask this one about the store.
   bool is_sentinel() const { return gossip_ && gossip_->is_sentinel(); }
+  // Whether contents of the store are passed between daemons.
+  bool passes_contents() const;
+  // The daemons that this one may get the contents from.
+  ContentsPeers contents_peers() const;
+  // The contents in force have changed, or were confirmed.
+  void PublishContents(ContentsUpdate update);
+  // The contents come from a peer now, or no longer.
+  void OnContentsFromPeer(bool from_peer);
   // Number of daemons known to be alive, 0 before they are known.
   std::size_t fleet_size() const { return fleet_size_; }
 
@@ -67,6 +81,7 @@
 
  private:
   Result<void> StartGossip();
+  void StartContentsServer();
   void OnFleetSize(std::size_t size);
   void OnMembers(std::span<const Member> members);
   bool shares_statements() const;
@@ -89,6 +104,7 @@
   RelayServer relay_server_;
   ControlServer control_;
   std::optional<PeerGossip> gossip_;
+  std::optional<ContentsServer> contents_server_;
   std::atomic<std::size_t> fleet_size_ = 1;
   // An upstream has said something of itself since the process started.
   std::atomic<bool> has_statements_ = false;
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -71,6 +71,30 @@
                        .Name("lacewingknot_edge_store_calls_total")
                        .Help("Calls to the configuration store by outcome.")
                        .Register(*registry_)),
+      contents_messages_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_contents_messages_total")
+              .Help("Messages of the store's contents between daemons, by "
+                    "direction and kind.")
+              .Register(*registry_)),
+      contents_sources_left_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_contents_sources_left_total")
+              .Help("Peers that no longer pass the store's contents on to this "
+                    "daemon, by reason.")
+              .Register(*registry_)),
+      contents_fallbacks_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_contents_fallbacks_total")
+              .Help("Times that the store was asked for lack of a fit peer.")
+              .Register(*registry_)
+              .Add({})),
+      contents_from_peer_(
+          prometheus::BuildGauge()
+              .Name("lacewingknot_edge_contents_from_peer")
+              .Help("1 while the store's contents come from a peer.")
+              .Register(*registry_)
+              .Add({})),
       connections_opened_(
           prometheus::BuildCounter()
               .Name("lacewingknot_edge_connections_opened_total")
@@ -202,6 +226,27 @@
   }
 }
 
+void EdgeMetrics::OnContentsMessage(std::string_view direction,
+                                    std::string_view kind) {
+  contents_messages_
+      .Add({{"direction", std::string(direction)}, {"kind", std::string(kind)}})
+      .Increment();
+}
+
+void EdgeMetrics::OnContentsSourceLeft(std::string_view reason) {
+  contents_sources_left_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void EdgeMetrics::OnContentsFallback() { contents_fallbacks_.Increment(); }
+
+void EdgeMetrics::set_contents_from_peer(bool from_peer) {
+  contents_from_peer_.Set(from_peer ? 1 : 0);
+}
+
+void EdgeMetrics::set_store_confirmed_at(TimePoint at) {
+  store_confirmed_at_ = at.time_since_epoch().count();
+}
+
 std::optional<Duration> EdgeMetrics::StoreConfirmationAge(TimePoint now) const {
   const TimePoint::rep confirmed_at = store_confirmed_at_;
   if (confirmed_at == 0) return std::nullopt;
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -55,6 +55,17 @@
   void OnConnectionOpened();
   // An `outcome` of "ok" confirms what is known of the store.
   void OnStoreCall(std::string_view outcome);
+  // A message of the store's contents was `direction`, "sent" or "received".
+  // `kind`: "snapshot", "changes", "confirmation" or "refused".
+  void OnContentsMessage(std::string_view direction, std::string_view kind);
+  // The source of the contents was left for `reason`, and another peer or the
+  // store is asked.
+  void OnContentsSourceLeft(std::string_view reason);
+  // No peer was a fit source, and the store was called.
+  void OnContentsFallback();
+  void set_contents_from_peer(bool from_peer);
+  // The store has confirmed the contents at `at`, to this daemon or a peer.
+  void set_store_confirmed_at(TimePoint at);
   void set_config_version(std::uint64_t version);
   void set_upstreams(std::size_t known);
   void set_ready(bool ready);
@@ -93,6 +104,10 @@
   prometheus::Family<prometheus::Counter>& answers_dropped_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& contents_messages_;
+  prometheus::Family<prometheus::Counter>& contents_sources_left_;
+  prometheus::Counter& contents_fallbacks_;
+  prometheus::Gauge& contents_from_peer_;
   prometheus::Counter& connections_opened_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& upstreams_;
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 17> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 18> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -23,6 +23,7 @@
                                                       "store_max_staleness_ms",
                                                       "changes_in_force_ms",
                                                       "upstream_drain_ms",
+                                                      "store_contents_by_peers",
                                                       "log_level",
                                                       "processor_share",
                                                       "disabled_mechanisms",
@@ -94,6 +95,16 @@
     value = std::chrono::duration_cast<Duration>(Unit(number));
   }
 
+  void ReadFlag(const toml::table& root, std::string_view key, bool& value) {
+    const toml::node* node = root.get(key);
+    if (node == nullptr) return;
+    if (const auto flag = node->value_exact<bool>()) {
+      value = *flag;
+      return;
+    }
+    AddFault(*node, key, "wrong type", "true or false");
+  }
+
   void ReadPeers(const toml::table& root) {
     const toml::node* node = root.get("peers");
     if (node == nullptr) return;
@@ -185,6 +196,8 @@
       root, "changes_in_force_ms", 500, 60'000, settings.changes_in_force);
   reader.ReadDuration<std::chrono::duration<double, std::milli>>(
       root, "upstream_drain_ms", 1'500, 600'000, settings.upstream_drain);
+  reader.ReadFlag(root, "store_contents_by_peers",
+                  settings.store_contents_by_peers);
   for (const auto& [key, node] : root) {
     if (std::find(kKnownKeys.begin(), kKnownKeys.end(), key.str()) ==
         kKnownKeys.end()) {
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -15,6 +15,9 @@
 //   changes_in_force_ms = 3000          # max delay until a store change
 //                                       # applies
 //   upstream_drain_ms = 3000            # an upstream serves after its removal
+//   store_contents_by_peers = false     # most daemons get the store's contents
+//                                       # from others, over the next higher
+//                                       # port than that of gossip_listen
 //   disabled_mechanisms = []            # names of policy/mechanisms.h
 //   [extra_load]                        # limits of the fleet for a service
 //   ratio = 0.2
@@ -58,6 +61,7 @@
   Duration store_max_staleness = std::chrono::milliseconds(4'000);
   Duration changes_in_force = std::chrono::milliseconds(3'000);
   Duration upstream_drain = std::chrono::milliseconds(3'000);
+  bool store_contents_by_peers = false;
   LogLevel log_level = LogLevel::kInfo;
   double processor_share = 1;
   double extra_ratio = 0.1;
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -50,7 +50,9 @@
                             .processor_share = options_.processor_share},
                    .seed_addresses = options_.seeds,
                    .random_seed = options_.random_seed}),
-      random_(static_cast<std::uint32_t>(options_.random_seed)) {}
+      random_(static_cast<std::uint32_t>(options_.random_seed)),
+      contents_peers_({.sources = RankSeeds(options_.listen, options_.seeds)}) {
+}
 
 Result<void> PeerGossip::Start() {
   const auto endpoint = ParseEndpoint(options_.listen);
@@ -79,6 +81,7 @@
   Send(membership_.Tick(now));
   ReportFleetSize();
   ReportMembers();
+  UpdateContentsPeers(now);
   PingSentinels(now);
   timer_.expires_after(membership_.interval());
   timer_.async_wait([this](boost::system::error_code error) {
@@ -96,8 +99,31 @@
   return store_report_;
 }
 
+ContentsPeers PeerGossip::contents_peers() const {
+  const std::lock_guard lock(contents_peers_mutex_);
+  return contents_peers_;
+}
+
+void PeerGossip::UpdateContentsPeers(TimePoint now) {
+  if (!membership_.knows_fleet_size(now)) return;
+  // A daemon that knows no other one asks the seeds, which may be starting.
+  const bool is_settled = alive_.size() > 1;
+  const std::lock_guard lock(contents_peers_mutex_);
+  contents_peers_ = {
+      .is_settled = is_settled,
+      .is_sentinel = is_settled && is_sentinel_,
+      .sources =
+          is_settled ? sentinels_ : RankSeeds(options_.listen, options_.seeds)};
+}
+
 void PeerGossip::PingSentinels(TimePoint now) {
   if (is_sentinel_ || sentinels_.empty()) return;
+  if (follows_source_) {
+    if (++rounds_ % kRoundsBetweenPings != 0) return;
+    Send(std::vector<OutgoingMemberMessage>{
+        membership_.Ping(sentinels_[sentinels_.size() > 1 ? 1 : 0])});
+    return;
+  }
   std::vector<OutgoingMemberMessage> pings{membership_.Ping(sentinels_[0])};
   if (sentinels_.size() > 1 &&
       now - last_report_confirmed_at_ > kReportOverdue) {
@@ -276,6 +302,10 @@
   TellIfOutdated(report, message.value().membership.sender.address, now);
   Send(membership_.OnMessage(message.value().membership, now));
   if (options_.on_store_report) options_.on_store_report(report);
+  if (options_.on_store_confirmed_at && report.confirmed_at != TimePoint{}) {
+    options_.on_store_confirmed_at(message.value().membership.sender.address,
+                                   report.confirmed_at);
+  }
   const MemberMessage& membership = message.value().membership;
   if (!message.value().statements.empty() && options_.on_statements) {
     options_.on_statements(message.value().statements,
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -44,6 +44,7 @@
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/edge/gossip_messages.h"
+#include "lacewingknot/policy/contents_source.h"
 #include "lacewingknot/policy/demand_shares.h"
 #include "lacewingknot/policy/membership.h"
 #include "lacewingknot/policy/statement_table.h"
@@ -65,6 +66,9 @@
     std::function<void(std::span<const Member> members)> on_members;
     // Called with what a peer reports of the store.
     std::function<void(const StoreReport& report)> on_store_report;
+    // Called with when the store confirmed the contents of daemon `from`.
+    std::function<void(const std::string& from, TimePoint confirmed_at)>
+        on_store_confirmed_at;
     // Called with what daemon `from` reports that upstreams say.
     std::function<void(std::vector<StatementReport> reports, std::string from)>
         on_statements;
@@ -97,6 +101,11 @@
   // Reports this daemon's demand to the keepers of the upstreams
   // (policy/demand_shares.h). Control thread only.
   void SendDemands(std::span<const DemandReport> reports);
+  // The daemons that this one may get the store's contents from. Thread-safe.
+  ContentsPeers contents_peers() const;
+  // Sentinels are asked about the store more rarely from now on, because one
+  // passes its contents on to this daemon. Thread-safe.
+  void set_follows_source(bool follows) { follows_source_ = follows; }
   // Whether other daemons ask this one about the store. Thread-safe.
   bool is_sentinel() const { return is_sentinel_; }
 
@@ -104,6 +113,10 @@
   static constexpr std::size_t kMaxDatagramBytes = 4'096;
   // Age of the latest report from which on a second sentinel is asked.
   static constexpr Duration kReportOverdue = std::chrono::milliseconds(2'000);
+  // Rounds between questions to a sentinel while a source passes contents on.
+  // Its messages tell more, but only datagrams compare a follower's contents
+  // with those of another sentinel.
+  static constexpr int kRoundsBetweenPings = 3;
   // How long a daemon tells its state after a peer was found to be outdated.
   static constexpr Duration kTellStateFor = std::chrono::seconds(5);
 
@@ -131,6 +144,7 @@
   void ReportFleetSize();
   void ReportMembers();
   void PingSentinels(TimePoint now);
+  void UpdateContentsPeers(TimePoint now);
   // Tells `peer` this daemon's contents of the store if its report shows that
   // it may be outdated.
   void TellIfOutdated(const StoreReport& report, const std::string& peer,
@@ -154,6 +168,8 @@
   // Sentinels that this daemon asks, in order of preference.
   std::vector<std::string> sentinels_;
   std::atomic<bool> is_sentinel_ = false;
+  std::atomic<bool> follows_source_ = false;
+  int rounds_ = 0;
   TimePoint last_report_confirmed_at_{};  // Latest of all peers' reports.
   TimePoint tells_state_until_{};
   struct PendingStatement {
@@ -168,6 +184,8 @@
   // Guarded by store_report_mutex_; its times are zero before the first
   // confirmation.
   StoreReport store_report_;
+  mutable std::mutex contents_peers_mutex_;
+  ContentsPeers contents_peers_;  // Guarded by contents_peers_mutex_.
 };
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/policy/mechanisms.cc
+++ b/lacewingknot/policy/mechanisms.cc
@@ -6,13 +6,15 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<MechanismInfo, 15> kMechanisms{{
+constexpr std::array<MechanismInfo, 16> kMechanisms{{
     {Mechanism::kAdmission, "admission",
      "a part of the queries is refused at once while many fail by overload"},
     {Mechanism::kBackoff, "backoff",
      "upstreams get no attempts for a while after consecutive failures"},
     {Mechanism::kBatchingDelay, "batching_delay",
      "relays hold a part for some milliseconds to send several together"},
+    {Mechanism::kContentsByPeers, "contents_by_peers",
+     "most daemons get the store's contents from others (if set up so)"},
     {Mechanism::kDeclining, "declining",
      "relays decline attempts that another data centre can answer sooner"},
     {Mechanism::kFailureShare, "failure_share",
--- a/lacewingknot/policy/mechanisms.h
+++ b/lacewingknot/policy/mechanisms.h
@@ -28,6 +28,7 @@
   kAdmission,
   kBackoff,
   kBatchingDelay,
+  kContentsByPeers,
   kDeclining,
   kFailureShare,
   kHedging,
