--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -66,6 +66,9 @@
   void set_contents_from_peer(bool from_peer);
   // The store has confirmed the contents at `at`, to this daemon or a peer.
   void set_store_confirmed_at(TimePoint at);
+  // An answer of the store stated its epoch wrongly, for `cause`.
+  void OnStoreEpochInvalid(std::string_view cause);
+  void set_store_epoch(std::uint64_t epoch);
   void set_config_version(std::uint64_t version);
   void set_upstreams(std::size_t known);
   void set_ready(bool ready);
@@ -108,6 +111,8 @@
   prometheus::Family<prometheus::Counter>& contents_sources_left_;
   prometheus::Counter& contents_fallbacks_;
   prometheus::Gauge& contents_from_peer_;
+  prometheus::Family<prometheus::Counter>& store_epochs_invalid_;
+  prometheus::Gauge& store_epoch_;
   prometheus::Counter& connections_opened_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& upstreams_;
