--- a/lacewingknot/policy/mechanisms.cc
+++ b/lacewingknot/policy/mechanisms.cc
@@ -6,7 +6,7 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<MechanismInfo, 16> kMechanisms{{
+constexpr std::array<MechanismInfo, 17> kMechanisms{{
     {Mechanism::kAdmission, "admission",
      "a part of the queries is refused at once while many fail by overload"},
     {Mechanism::kBackoff, "backoff",
@@ -15,6 +15,8 @@
      "relays hold a part for some milliseconds to send several together"},
     {Mechanism::kConcurrencyLimit, "concurrency_limit",
      "upstreams get no more requests at a time than they handle well, if set"},
+    {Mechanism::kContentsByPeers, "contents_by_peers",
+     "most daemons get the store's contents from others (if set up so)"},
     {Mechanism::kDeclining, "declining",
      "relays decline attempts that another data centre can answer sooner"},
     {Mechanism::kFailureShare, "failure_share",
--- a/lacewingknot/policy/mechanisms.h
+++ b/lacewingknot/policy/mechanisms.h
@@ -29,6 +29,7 @@
   kBackoff,
   kBatchingDelay,
   kConcurrencyLimit,
+  kContentsByPeers,
   kDeclining,
   kFailureShare,
   kHedging,
