--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -147,18 +147,6 @@
     }
   }
 
-  // `path` is a dotted path as for ReadNumber().
-  void ReadFlag(const toml::table& root, std::string_view path, bool& value) {
-    const auto view = root.at_path(path);
-    const toml::node* node = view.node();
-    if (node == nullptr) return;
-    if (const auto flag = node->value_exact<bool>()) {
-      value = *flag;
-      return;
-    }
-    AddFault(*node, path, "wrong type", "true or false");
-  }
-
   void ReadLogLevel(const toml::table& root) {
     const toml::node* node = root.get("log_level");
     if (node == nullptr) return;
