--- a/lacewingknot/policy/contents_source.cc
+++ b/lacewingknot/policy/contents_source.cc
@@ -75,8 +75,7 @@
                ? "empty"
                : std::string_view();
   }
-  const bool takes_indirect = is_store_lost_ || !state.peers.is_settled;
-  if (latest_.hops > (takes_indirect ? kMaxHops : 0)) return "indirect";
+  if (!AcceptsHops(latest_.hops, state)) return "indirect";
   const bool is_stale = IsStale(now);
   const bool has_fresher =
       HasFresherPeer(now) &&
@@ -85,6 +84,11 @@
   return UnlistedOrBehind(now, state);
 }
 
+bool ContentsSource::AcceptsHops(std::uint32_t hops, const State& state) const {
+  const bool takes_indirect = is_store_lost_ || !state.peers.is_settled;
+  return hops <= (takes_indirect ? kMaxHops : 0);
+}
+
 std::string_view ContentsSource::UnlistedOrBehind(TimePoint now,
                                                   const State& state) {
   const auto lasts = [now](std::optional<TimePoint>& since, bool holds,
--- a/lacewingknot/policy/contents_source.h
+++ b/lacewingknot/policy/contents_source.h
@@ -100,6 +100,10 @@
 
   // The link to the source is open.
   void OnLinkOpened(TimePoint now) { opened_at_ = now; }
+  // Whether contents may be taken from a source with `hops` links to the store.
+  // Others must not be put in force: two daemons that follow each other would
+  // raise each other's number until all their followers leave.
+  bool AcceptsHops(std::uint32_t hops, const State& state) const;
   // The source sent a message.
   void OnMessage(const Message& message, TimePoint now);
   // The link to the source failed or was closed; "refused" if by this daemon,
