--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -96,14 +96,16 @@
     value = std::chrono::duration_cast<Duration>(Unit(number));
   }
 
-  void ReadFlag(const toml::table& root, std::string_view key, bool& value) {
-    const toml::node* node = root.get(key);
+  // `path` is a dotted path as for ReadNumber().
+  void ReadFlag(const toml::table& root, std::string_view path, bool& value) {
+    const auto view = root.at_path(path);
+    const toml::node* node = view.node();
     if (node == nullptr) return;
     if (const auto flag = node->value_exact<bool>()) {
       value = *flag;
       return;
     }
-    AddFault(*node, key, "wrong type", "true or false");
+    AddFault(*node, path, "wrong type", "true or false");
   }
 
   void ReadPeers(const toml::table& root) {
