Tests: probe numbers take two bytes, and any daemon tells a risen epoch

The traffic budget of a sentinel counts on probe numbers of two bytes, and a return that only a daemon notices that is no sentinel must reach the others. Neither had a test.

--- a/lacewingknot/edge/peer_gossip_test.cc
+++ b/lacewingknot/edge/peer_gossip_test.cc
@@ -116,6 +116,27 @@
   }
 }
 
+// Guards against a daemon that goes on in a former epoch, because only one that
+// is no sentinel has noticed the store's return.
+TEST_F(PeerGossipTest, EpochRise_AtDaemonThatIsNoSentinel_IsReportedToOthers) {
+  for (int i = 0; i < 4; ++i) StartDaemon(i);
+  const auto is_sentinel = [](const auto& entry) {
+    return entry.second.gossip->is_sentinel();
+  };
+  RunUntil([&] {
+    return std::count_if(daemons_.begin(), daemons_.end(), is_sentinel) == 2;
+  });
+  const auto teller =
+      std::find_if_not(daemons_.begin(), daemons_.end(), is_sentinel);
+  teller->second.gossip->SetStoreConfirmed(
+      {.epoch = 3, .revision = 412, .confirmed_at = BootClock::now()});
+  RunUntil([&] {
+    return std::any_of(daemons_.begin(), daemons_.end(), [](const auto& entry) {
+      return entry.second.received_epoch == 3;
+    });
+  });
+}
+
 // An upstream that leaves tells the first daemon that sends to it.
 TEST_F(PeerGossipTest, Statement_OneDaemonLearnsIt_OthersAreToldSoon) {
   for (int i = 0; i < 4; ++i) StartDaemon(i);
--- a/lacewingknot/policy/membership_test.cc
+++ b/lacewingknot/policy/membership_test.cc
@@ -415,6 +415,23 @@
   EXPECT_EQ(outgoing[0].message.sender.incarnation, 901U);
 }
 
+// Guards against datagrams of a sentinel that outgrow the traffic budget: probe
+// numbers of up to two bytes take three in a datagram.
+TEST(MembershipProbeTest, ProbeNumbers_AfterLongTime_TakeTwoBytes) {
+  Membership membership({.self = {.address = "10.0.0.1:1"}});
+  const MemberMessage request{.kind = MemberMessageKind::kIndirectProbe,
+                              .target = "10.0.0.3:1",
+                              .sender = {.address = "10.0.0.2:1"}};
+  std::uint64_t highest = 0;
+  for (int i = 0; i < 70'000; ++i) {
+    for (const OutgoingMemberMessage& outgoing :
+         membership.OnMessage(request, TimePoint(std::chrono::hours(1)))) {
+      highest = std::max(highest, outgoing.message.probe_number);
+    }
+  }
+  EXPECT_EQ(highest, 65'535U);
+}
+
 TEST_F(MembershipTest, Daemon_ReceivesNothing_MarksNoMemberGone) {
   Receive(Peer(2, 1), {{.member = Peer(3, 1)}});
   for (int i = 0; i < 60; ++i) {
