--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -24,6 +24,11 @@
 //   attempts = 52
 //   [concurrency_limit]
 //   enabled = true                      # learn what each upstream takes well
+//   [quota]                             # tolerance of teams' quotas; absent:
+//                                       # no quota is enforced
+//   window_seconds = 5                  # or window_ms
+//   overshoot = 0.25
+//   slack = 20
 //   [stop]
 //   grace_seconds = 6                   # time until the process is killed
 //
@@ -39,6 +44,7 @@
 #ifndef LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
 #define LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +52,7 @@
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/policy/mechanisms.h"
+#include "lacewingknot/policy/team_quota.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot::edge {
@@ -73,6 +80,7 @@
   bool concurrency_limit = false;
   Duration stop_grace = std::chrono::seconds(6);
   MechanismSet disabled_mechanisms;
+  std::optional<QuotaBounds> quota_bounds;
 };
 
 struct ParsedEdgeSettings {
--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -35,9 +35,10 @@
 // revision, data centres, members, of which the sender is the first, 0 or 1
 // plus the milliseconds since the store confirmed the revision, statements of
 // upstreams, demands, sums of demands, 0 or 1 plus the milliseconds since the
-// sender last lost the store, the store's contents (EncodeState), and its
-// epoch. Daemons of earlier releases do not send the last seven, three, two or
-// one, and ignore them.
+// sender last lost the store, the store's contents (EncodeState), its epoch,
+// and messages about quotas. Trailing fields that say nothing are omitted.
+// Daemons of earlier releases do not send the last eight, four, three or two,
+// and ignore them.
 
 // Upstream, incarnation, thousandths of an attempt per second, and milliseconds
 // until the next report.
@@ -46,19 +47,24 @@
 // Upstream, incarnation, thousandths of an attempt per second.
 using WireDemandSum = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
-using WireMessage = std::tuple<
-    std::uint32_t, std::uint32_t, std::uint64_t, std::string, std::uint64_t,
-    bool, std::uint64_t, std::vector<std::string>, std::vector<WireMember>,
-    std::uint64_t, std::vector<WireStatement>, std::vector<WireDemand>,
-    std::vector<WireDemandSum>, std::uint64_t, std::string, std::uint64_t>;
+// Kind and flags, team, number, tokens, tokens in advance, tokens given back,
+// milliseconds to wait, address of a keeper.
+using WireQuotaMessage =
+    std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint32_t,
+               std::uint32_t, std::uint32_t, std::uint32_t, std::string>;
+constexpr std::uint32_t kQuotaStandIn = 1U << 8;
+constexpr std::uint32_t kQuotaHasBucket = 1U << 9;
+constexpr std::uint32_t kQuotaKindMask = kQuotaStandIn - 1;
+constexpr std::uint32_t kMaxQuotaTokens = 1'000'000;
+constexpr std::uint32_t kMaxQuotaWaitMs = 3'600'000;
 
-// Packs the first fields only. The others say nothing; the receiver takes them
-// for empty.
-template <std::size_t... kIndices>
-void PackFirst(const WireMessage& message, msgpack::sbuffer& bytes,
-               std::index_sequence<kIndices...> /*indices*/) {
-  msgpack::pack(bytes, std::tie(std::get<kIndices>(message)...));
-}
+using WireMessage =
+    std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::string,
+               std::uint64_t, bool, std::uint64_t, std::vector<std::string>,
+               std::vector<WireMember>, std::uint64_t,
+               std::vector<WireStatement>, std::vector<WireDemand>,
+               std::vector<WireDemandSum>, std::uint64_t, std::string,
+               std::uint64_t, std::vector<WireQuotaMessage>>;
 
 class MemberPacker {
  public:
@@ -175,10 +181,60 @@
          kDemandUnitsPerAttempt;
 }
 
+std::vector<WireQuotaMessage> EncodeQuotaMessages(
+    const std::vector<QuotaMessage>& messages) {
+  std::vector<WireQuotaMessage> wire;
+  for (const QuotaMessage& message : messages) {
+    if (wire.size() >= GossipMessage::kMaxQuotaMessages) break;
+    if (message.team.size() > GossipMessage::kMaxTeamNameBytes) continue;
+    wire.emplace_back(static_cast<std::uint32_t>(message.kind) |
+                          (message.is_stand_in ? kQuotaStandIn : 0) |
+                          (message.has_bucket ? kQuotaHasBucket : 0),
+                      message.team, message.number, message.tokens,
+                      message.ahead, message.given_back,
+                      // Rounded up: after the wait there is a token.
+                      message.wait > Duration::zero()
+                          ? static_cast<std::uint32_t>(std::min<std::int64_t>(
+                                ToMillis(message.wait) + 1, kMaxQuotaWaitMs))
+                          : 0,
+                      message.keeper);
+  }
+  return wire;
+}
+
+// Leaves out messages of kinds that this release does not know.
+std::vector<QuotaMessage> DecodeQuotaMessages(
+    const std::vector<WireQuotaMessage>& wire) {
+  if (wire.size() > GossipMessage::kMaxQuotaMessages) {
+    throw msgpack::type_error();
+  }
+  std::vector<QuotaMessage> messages;
+  for (const auto& [kind, team, number, tokens, ahead, given_back, wait_ms,
+                    keeper] : wire) {
+    if (team.size() > GossipMessage::kMaxTeamNameBytes ||
+        keeper.size() > kMaxNameBytes) {
+      throw msgpack::type_error();
+    }
+    if ((kind & kQuotaKindMask) >= kQuotaMessageKindCount) continue;
+    messages.push_back(
+        {.kind = static_cast<QuotaMessageKind>(kind & kQuotaKindMask),
+         .team = team,
+         .number = number,
+         .tokens = std::min(tokens, kMaxQuotaTokens),
+         .ahead = std::min(ahead, kMaxQuotaTokens),
+         .given_back = std::min(given_back, kMaxQuotaTokens),
+         .wait = std::chrono::milliseconds(std::min(wait_ms, kMaxQuotaWaitMs)),
+         .keeper = keeper,
+         .is_stand_in = (kind & kQuotaStandIn) != 0,
+         .has_bucket = (kind & kQuotaHasBucket) != 0});
+  }
+  return messages;
+}
+
 GossipMessage ParseMessage(const WireMessage& wire) {
   const auto& [version, kind, number, about, digest, knows_fleet, revision,
                data_centres, members, confirmation_age, statements, demands,
-               sums, unbroken_for, state, epoch] = wire;
+               sums, unbroken_for, state, epoch, quota_messages] = wire;
   const bool exceeds_limits =
       members.empty() ||
       members.size() > Membership::kMaxUpdatesPerMessage + 1 ||
@@ -202,8 +258,8 @@
       .store_confirmation_age = DecodeAge(confirmation_age),
       .store_unbroken_for = DecodeAge(unbroken_for),
       .store_state = DecodeState(state, revision),
-      .statements =
-          DecodeStatements(statements, GossipMessage::kMaxStatements)};
+      .statements = DecodeStatements(statements, GossipMessage::kMaxStatements),
+      .quota_messages = DecodeQuotaMessages(quota_messages)};
   message.membership.sender = ParseMember(members.front(), data_centres).member;
   for (std::size_t i = 1; i < members.size(); ++i) {
     message.membership.updates.push_back(ParseMember(members[i], data_centres));
@@ -247,7 +303,6 @@
     sums.emplace_back(sum.upstream, sum.incarnation,
                       ToDemandUnits(sum.per_second));
   }
-  msgpack::sbuffer bytes;
   const WireMessage wire(
       kGossipVersion, static_cast<std::uint32_t>(membership.kind),
       membership.probe_number, membership.target, membership.digest,
@@ -257,15 +312,25 @@
       EncodeStatements(message.statements), demands, sums,
       EncodeAge(message.store_unbroken_for),
       EncodeState(message.store_state, message.store_revision),
-      message.store_epoch);
-  constexpr std::size_t kFields = std::tuple_size_v<WireMessage>;
-  if (message.store_epoch != 0) {
-    msgpack::pack(bytes, wire);
-  } else if (message.store_state.is_known()) {
-    PackFirst(wire, bytes, std::make_index_sequence<kFields - 1>());
-  } else {
-    PackFirst(wire, bytes, std::make_index_sequence<kFields - 2>());
+      message.store_epoch, EncodeQuotaMessages(message.quota_messages));
+  // The receiver takes omitted trailing fields for empty.
+  std::size_t left = std::tuple_size_v<WireMessage>;
+  if (message.quota_messages.empty()) {
+    --left;
+    if (message.store_epoch == 0) {
+      --left;
+      if (!message.store_state.is_known()) --left;
+    }
   }
+  msgpack::sbuffer bytes;
+  msgpack::packer<msgpack::sbuffer> stream(bytes);
+  stream.pack_array(static_cast<std::uint32_t>(left));
+  const auto pack_next = [&](const auto& field) {
+    if (left == 0) return;
+    stream.pack(field);
+    --left;
+  };
+  std::apply([&](const auto&... fields) { (pack_next(fields), ...); }, wire);
   return {bytes.data(), bytes.size()};
 }
 
