--- a/lacewingknot/edge/attempt.h
+++ b/lacewingknot/edge/attempt.h
@@ -27,6 +27,7 @@
   // Numbers of the connections that have carried an attempt of the request. All
   // attempts share this object.
   mutable std::vector<std::uint64_t> carried_by;
+  mutable bool was_sent = false;  // An attempt was sent, maybe to a relay.
 };
 
 enum class AttemptEnd {
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
@@ -35,6 +36,12 @@
   return bytes;
 }
 
+// A request waits this part of its objective, within bounds, for a token of its
+// team's quota. The shortest wait lasts for an answer from another data centre.
+constexpr int kQuotaPatienceDivisor = 5;
+constexpr Duration kMinQuotaPatience = std::chrono::milliseconds(25);
+constexpr Duration kMaxQuotaPatience = std::chrono::milliseconds(150);
+
 std::string RetryAfterHeader(Duration after) {
   std::array<char, 48> text{};
   const int size =
@@ -282,7 +289,47 @@
         {.status = kStatusUnavailable, .retry_after = kStoppingRetryAfter});
     return;
   }
-  StartRequest(std::move(request), routes, *route, *team);
+  request_read_at_ = BootClock::now();
+  AwaitQuota(std::move(request), routes, *route, *team);
+}
+
+void ClientConnection::AwaitQuota(ClientRequest request,
+                                  std::shared_ptr<const BoundTable> routes,
+                                  const BoundRoute& route,
+                                  const TeamTable::Match& team) {
+  TeamQuotas* quotas = options_.core->team_quotas();
+  if (quotas == nullptr || team.team == nullptr ||
+      team.team->rate_per_second <= 0) {
+    StartRequest(std::move(request), std::move(routes), route, team, false);
+    return;
+  }
+  const Duration patience =
+      std::clamp<Duration>(route.spec->target_latency / kQuotaPatienceDivisor,
+                           kMinQuotaPatience, kMaxQuotaPatience);
+  const std::string name = team.team->name;
+  // The table that owns the route and the team outlives the wait.
+  auto waiting = std::make_shared<ClientRequest>(std::move(request));
+  const auto on_decision = [weak = weak_from_this(), waiting, routes, &route,
+                            team](const TeamQuotas::Decision& decision) {
+    const auto self = weak.lock();
+    if (!self || self->is_closed_) return;
+    self->quota_wait_.reset();
+    if (decision.is_allowed) {
+      self->StartRequest(std::move(*waiting), routes, route, team, true);
+      return;
+    }
+    LogEvent(Event::kRequestRejected, {{"id", waiting->request_id},
+                                       {"status", kStatusTooManyRequests},
+                                       {"cause", "over_quota"},
+                                       {"team", team.team->name},
+                                       {"config", routes->table->version()}});
+    self->options_.core->metrics().OnTeamRequest(team.team->name, "over_quota");
+    self->OnAnswer({.status = kStatusTooManyRequests,
+                    .retry_after = decision.retry_after});
+  };
+  const auto ticket =
+      quotas->Acquire(name, request_read_at_ + patience, on_decision);
+  if (ticket) quota_wait_.emplace(name, *ticket);
 }
 
 std::optional<TeamTable::Match> ClientConnection::Authenticate(
@@ -317,7 +364,8 @@
 void ClientConnection::StartRequest(ClientRequest request,
                                     std::shared_ptr<const BoundTable> routes,
                                     const BoundRoute& route,
-                                    const TeamTable::Match& team) {
+                                    const TeamTable::Match& team,
+                                    bool has_quota_token) {
   const auto answer = [weak = weak_from_this()](const ClientAnswer& given) {
     if (const auto self = weak.lock()) self->OnAnswer(given);
   };
@@ -328,7 +376,8 @@
                                .route = &route,
                                .request = std::move(request),
                                .team = team,
-                               .started_at = BootClock::now(),
+                               .has_quota_token = has_quota_token,
+                               .started_at = request_read_at_,
                                .client_round_trip = round_trip,
                                .answer = answer});
   // The session may have answered already.
@@ -455,6 +504,11 @@
   options_.core->timers().Cancel(timer_);
   boost::system::error_code ignored;  // A failed close cannot be handled.
   socket_.close(ignored);
+  if (quota_wait_) {
+    options_.core->team_quotas()->Abandon(quota_wait_->first,
+                                          quota_wait_->second);
+    quota_wait_.reset();
+  }
   if (session_) std::exchange(session_, nullptr)->Cancel();
   if (options_.on_closed) options_.on_closed(this);
 }
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "lacewingknot/edge/edge_core.h"
 #include "lacewingknot/edge/http_messages.h"
@@ -74,10 +75,16 @@
   std::optional<TeamTable::Match> Authenticate(const BoundTable& routes,
                                                const BoundRoute& route,
                                                ClientRequest& request);
+  // Starts the request once it has a token of the team's quota, or answers it
+  // with 429.
+  void AwaitQuota(ClientRequest request,
+                  std::shared_ptr<const BoundTable> routes,
+                  const BoundRoute& route, const TeamTable::Match& team);
   // Starts the session of a request that may run.
   void StartRequest(ClientRequest request,
                     std::shared_ptr<const BoundTable> routes,
-                    const BoundRoute& route, const TeamTable::Match& team);
+                    const BoundRoute& route, const TeamTable::Match& team,
+                    bool has_quota_token);
   void OnParseError(boost::system::error_code error);
   void Reject(int status, std::string_view cause);
   void OnAnswer(const ClientAnswer& answer);
@@ -117,6 +124,9 @@
   bool is_head_request_ = false;  // The answer to HEAD has no body.
   bool is_header_handled_ = false;
   std::size_t request_count_ = 0;
+  TimePoint request_read_at_{};
+  // The request waits for a token of this team's quota.
+  std::optional<std::pair<std::string, TeamQuotas::Ticket>> quota_wait_;
   TimePoint awaiting_since_{};
   TimerQueue::Id timer_;
 };
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -93,7 +93,17 @@
                    [this](std::span<const StatementReport> reports,
                           std::string_view from) {
                      ApplyStatements(reports, from);
-                   }}) {}
+                   }}) {
+  if (options_.quota_bounds) EnforceQuotas(*options_.quota_bounds);
+}
+
+void EdgeCore::EnforceQuotas(const QuotaBounds& bounds) {
+  team_quotas_.emplace(TeamQuotas::Options{.timers = &timers_,
+                                           .metrics = options_.metrics,
+                                           .self = options_.address,
+                                           .bounds = bounds,
+                                           .send = options_.on_quota_messages});
+}
 
 void EdgeCore::OnAnswerDropped(std::string_view from, std::string_view cause,
                                std::size_t bytes) {
@@ -263,6 +273,7 @@
   }
   UpdateRelayMode();
   ApplyAllShares();
+  if (team_quotas_) team_quotas_->SetQuotas(QuotasOf(table->teams()));
   options_.metrics->set_config_version(table->version());
   if (withdraws_keys) on_keys_withdrawn_();
 }
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -25,6 +26,7 @@
 #include "lacewingknot/edge/relay_table.h"
 #include "lacewingknot/edge/routing_table.h"
 #include "lacewingknot/edge/service.h"
+#include "lacewingknot/edge/team_quotas.h"
 #include "lacewingknot/edge/timer_queue.h"
 #include "lacewingknot/edge/upstream_directory.h"
 #include "lacewingknot/policy/answer_budget.h"
@@ -104,6 +106,14 @@
     // Called with what upstreams say that other daemons should be told.
     std::function<void(std::vector<StatementReport> reports)> on_statements =
         [](const auto&) {};
+    // What quotas of teams tolerate; empty: none are enforced.
+    std::optional<QuotaBounds> quota_bounds;
+    // This daemon's address among the members.
+    std::string address;
+    // Called with asks for tokens of teams, for their keepers. If empty, this
+    // daemon is the only one.
+    std::function<void(std::vector<OutgoingQuotaMessage> messages)>
+        on_quota_messages;
     // Called with this daemon's demand for upstreams that state rates, for
     // their keepers.
     std::function<void(std::vector<DemandReport> reports)> on_demands =
@@ -143,6 +153,10 @@
   TimePoint final_deadline() const { return final_deadline_; }
 
   void OnUpstreamsLacking() const { options_.on_upstreams_lacking(); }
+  // Enforces quotas from now on, as Options::quota_bounds does.
+  void EnforceQuotas(const QuotaBounds& bounds);
+  // Null if no quotas are enforced.
+  TeamQuotas* team_quotas() { return team_quotas_ ? &*team_quotas_ : nullptr; }
   bool is_enabled(Mechanism mechanism) const {
     return !options_.disabled.Contains(mechanism);
   }
@@ -241,6 +255,7 @@
   TimePoint latest_statements_at_{};
   bool reports_demands_ = false;
   RelayTable relays_;
+  std::optional<TeamQuotas> team_quotas_;
   std::size_t fleet_size_ = kMinFleetSize;
   std::uint64_t last_query_number_ = 0;
   TimePoint final_deadline_ = TimePoint::max();
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -39,6 +39,9 @@
                  [this](std::vector<StatementReport> reports) {
                    SpreadStatements(std::move(reports));
                  },
+             .quota_bounds = options_.settings.quota_bounds,
+             .address = options_.settings.gossip_listen,
+             .on_quota_messages = MakeQuotaSender(),
              .on_demands =
                  [this](std::vector<DemandReport> reports) {
                    SendDemands(std::move(reports));
@@ -148,6 +151,33 @@
                   core_.ApplyDemandSums(sums);
                 });
               },
+          .quota_bounds = settings.quota_bounds,
+          .on_quota_messages =
+              [this](std::string from, std::vector<QuotaMessage> messages) {
+                RunOnTrafficThread([this, from = std::move(from),
+                                    messages = std::move(messages)] {
+                  core_.team_quotas()->OnMessages(from, messages);
+                });
+              },
+          .on_quota_members =
+              [this](std::vector<Member> members, bool is_whole_fleet) {
+                RunOnTrafficThread(
+                    [this, members = std::move(members), is_whole_fleet] {
+                      core_.team_quotas()->SetMembers(members, is_whole_fleet);
+                    });
+              },
+          .on_quota_takeover =
+              [this](const std::string& team) {
+                metrics_.OnQuotaTakeover();
+                LogEvent(Event::kQuotaKeeperReplaced, {{"team", team}});
+              },
+          .on_quota_contact =
+              [](bool may_grant) {
+                LogEvent(Event::kQuotaContactChanged,
+                         {{"may_grant", may_grant ? "yes" : "no"}});
+              },
+          .on_quota_message_dropped =
+              [this] { metrics_.OnQuotaMessageDropped(); },
           .on_statements_wanted =
               [this](const std::string& address) { SendStatements(address); }});
   return gossip_->Start();
@@ -211,8 +241,23 @@
   asio::post(traffic_io_, std::move(run));
 }
 
+std::function<void(std::vector<OutgoingQuotaMessage>)>
+EdgeDaemon::MakeQuotaSender() {
+  if (options_.settings.gossip_listen.empty()) return {};
+  return [this](std::vector<OutgoingQuotaMessage> messages) {
+    asio::post(control_io_, [this, messages = std::move(messages)] {
+      if (gossip_) gossip_->SendQuotaMessages(messages);
+    });
+  };
+}
+
 void EdgeDaemon::OnRoutes(std::shared_ptr<const RoutingTable> table) {
   routes_.Publish(table);
+  if (options_.settings.quota_bounds) {
+    asio::post(control_io_, [this, quotas = QuotasOf(table->teams())] {
+      if (gossip_) gossip_->SetQuotas(quotas);
+    });
+  }
   RunOnTrafficThread(
       [this, table = std::move(table)] { core_.ApplyRouting(table); });
   UpdateReadiness();
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/blackboard/section.h"
@@ -72,6 +73,8 @@
   bool shares_statements() const;
   void SpreadStatements(std::vector<StatementReport> reports);
   void SendDemands(std::vector<DemandReport> reports);
+  // Returns a function that sends asks for tokens; empty without gossip.
+  std::function<void(std::vector<OutgoingQuotaMessage>)> MakeQuotaSender();
   // Tells daemon `address`, which has just started, what upstreams have said.
   void SendStatements(const std::string& address);
   bool IsReady() const;
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -37,6 +37,22 @@
                         .Name("lacewingknot_edge_unauthorized_requests_total")
                         .Help("Requests answered 401, by cause.")
                         .Register(*registry_)),
+      quota_decisions_(prometheus::BuildCounter()
+                           .Name("lacewingknot_edge_quota_decisions_total")
+                           .Help("Requests of teams with a quota, by outcome.")
+                           .Register(*registry_)),
+      quota_takeovers_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_quota_takeovers_total")
+              .Help("Quotas taken over from a keeper that did not answer.")
+              .Register(*registry_)
+              .Add({})),
+      quota_messages_dropped_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_quota_messages_dropped_total")
+              .Help("Datagrams about quotas that were not sent, to bound them.")
+              .Register(*registry_)
+              .Add({})),
       hedges_denied_(prometheus::BuildCounter()
                          .Name("lacewingknot_edge_hedges_denied_total")
                          .Help("Extra attempts that were not sent, by reason.")
@@ -161,6 +177,16 @@
   unauthorized_.Add({{"cause", std::string(cause)}}).Increment();
 }
 
+void EdgeMetrics::OnQuotaDecision(std::string_view outcome) {
+  quota_decisions_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void EdgeMetrics::OnQuotaTakeover() { quota_takeovers_.Increment(); }
+
+void EdgeMetrics::OnQuotaMessageDropped() {
+  quota_messages_dropped_.Increment();
+}
+
 void EdgeMetrics::OnTeamRequest(std::string_view team,
                                 std::string_view outcome) {
   team_requests_.OnRequest(team, outcome, BootClock::now());
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -40,6 +40,11 @@
   void OnRejection(std::string_view cause);
   // Counts a request that was answered 401.
   void OnUnauthorized(std::string_view cause);
+  // A request of a team with a quota was decided: allowed or refused, or
+  // fallback_allowed or fallback_refused without a keeper.
+  void OnQuotaDecision(std::string_view outcome);
+  void OnQuotaTakeover();
+  void OnQuotaMessageDropped();
   // Counts a request of a team; `outcome` as in OnRequest().
   void OnTeamRequest(std::string_view team, std::string_view outcome);
   void OnAttempt(AttemptKind kind, AttemptEnd end, Duration latency);
@@ -84,6 +89,9 @@
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   prometheus::Family<prometheus::Counter>& rejections_;
   prometheus::Family<prometheus::Counter>& unauthorized_;
+  prometheus::Family<prometheus::Counter>& quota_decisions_;
+  prometheus::Counter& quota_takeovers_;
+  prometheus::Counter& quota_messages_dropped_;
   TeamRequests team_requests_;
   // Indexed by kind, then by end. Looked up only once, because every attempt is
   // counted here.
--- a/lacewingknot/edge/edge_settings.cc
+++ b/lacewingknot/edge/edge_settings.cc
@@ -11,7 +11,7 @@
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::array<std::string_view, 17> kKnownKeys{"vm",
+constexpr std::array<std::string_view, 18> kKnownKeys{"vm",
                                                       "data_centre",
                                                       "listen",
                                                       "readiness_listen",
@@ -27,6 +27,7 @@
                                                       "processor_share",
                                                       "disabled_mechanisms",
                                                       "extra_load",
+                                                      "quota",
                                                       "stop"};
 
 class SettingsReader {
@@ -135,6 +136,23 @@
     }
   }
 
+  void ReadQuota(const toml::table& root) {
+    const toml::node* node = root.get("quota");
+    if (node == nullptr) return;
+    if (!node->is_table()) {
+      AddFault(*node, "quota", "wrong type", "a table");
+      return;
+    }
+    QuotaBounds bounds;
+    ReadDuration<std::chrono::duration<double>>(root, "quota.window_seconds", 1,
+                                                600, bounds.window);
+    ReadDuration<std::chrono::duration<double, std::milli>>(
+        root, "quota.window_ms", 1'000, 600'000, bounds.window);
+    ReadNumber(root, "quota.overshoot", 0, 10, bounds.overshoot);
+    ReadNumber(root, "quota.slack", 0, 1e6, bounds.slack);
+    parsed_.settings.quota_bounds = bounds;
+  }
+
   void ReadLogLevel(const toml::table& root) {
     const toml::node* node = root.get("log_level");
     if (node == nullptr) return;
@@ -171,6 +189,7 @@
   reader.ReadPeers(root);
   reader.ReadLogLevel(root);
   reader.ReadDisabledMechanisms(root);
+  reader.ReadQuota(root);
   reader.ReadNumber(root, "processor_share", 0.001, 1'000,
                     settings.processor_share);
   reader.ReadNumber(root, "extra_load.ratio", 0, 1, settings.extra_ratio);
--- a/lacewingknot/edge/edge_settings.h
+++ b/lacewingknot/edge/edge_settings.h
@@ -19,6 +19,11 @@
 //   [extra_load]                        # limits of the fleet for a service
 //   ratio = 0.2
 //   attempts = 52
+//   [quota]                             # tolerance of teams' quotas; absent:
+//                                       # no quota is enforced
+//   window_seconds = 5                  # or window_ms
+//   overshoot = 0.25
+//   slack = 20
 //   [stop]
 //   grace_seconds = 6                   # time until the process is killed
 //
@@ -34,6 +39,7 @@
 #ifndef LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
 #define LACEWINGKNOT_EDGE_EDGE_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +47,7 @@
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/policy/mechanisms.h"
+#include "lacewingknot/policy/team_quota.h"
 #include "lacewingknot/settings/tree.h"
 
 namespace lacewingknot::edge {
@@ -64,6 +71,7 @@
   double extra_attempts = 10;
   Duration stop_grace = std::chrono::seconds(6);
   MechanismSet disabled_mechanisms;
+  std::optional<QuotaBounds> quota_bounds;
 };
 
 struct ParsedEdgeSettings {
--- a/lacewingknot/edge/gossip_messages.cc
+++ b/lacewingknot/edge/gossip_messages.cc
@@ -35,8 +35,9 @@
 // revision, data centres, members, of which the sender is the first, 0 or 1
 // plus the milliseconds since the store confirmed the revision, statements of
 // upstreams, demands, sums of demands, 0 or 1 plus the milliseconds since the
-// sender last lost the store, and the store's contents (EncodeState). Daemons
-// of earlier releases do not send the last six, two or one, and ignore them.
+// sender last lost the store, the store's contents (EncodeState), and messages
+// about quotas. Daemons of earlier releases do not send the last seven, three,
+// two or one, and ignore them.
 
 // Upstream, incarnation, thousandths of an attempt per second, and milliseconds
 // until the next report.
@@ -45,12 +46,24 @@
 // Upstream, incarnation, thousandths of an attempt per second.
 using WireDemandSum = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
+// Kind and flags, team, number, tokens, tokens in advance, tokens given back,
+// milliseconds to wait, address of a keeper.
+using WireQuotaMessage =
+    std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint32_t,
+               std::uint32_t, std::uint32_t, std::uint32_t, std::string>;
+constexpr std::uint32_t kQuotaStandIn = 1U << 8;
+constexpr std::uint32_t kQuotaHasBucket = 1U << 9;
+constexpr std::uint32_t kQuotaKindMask = kQuotaStandIn - 1;
+constexpr std::uint32_t kMaxQuotaTokens = 1'000'000;
+constexpr std::uint32_t kMaxQuotaWaitMs = 3'600'000;
+
 using WireMessage =
     std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::string,
                std::uint64_t, bool, std::uint64_t, std::vector<std::string>,
                std::vector<WireMember>, std::uint64_t,
                std::vector<WireStatement>, std::vector<WireDemand>,
-               std::vector<WireDemandSum>, std::uint64_t, std::string>;
+               std::vector<WireDemandSum>, std::uint64_t, std::string,
+               std::vector<WireQuotaMessage>>;
 
 class MemberPacker {
  public:
@@ -167,10 +180,60 @@
          kDemandUnitsPerAttempt;
 }
 
+std::vector<WireQuotaMessage> EncodeQuotaMessages(
+    const std::vector<QuotaMessage>& messages) {
+  std::vector<WireQuotaMessage> wire;
+  for (const QuotaMessage& message : messages) {
+    if (wire.size() >= GossipMessage::kMaxQuotaMessages) break;
+    if (message.team.size() > GossipMessage::kMaxTeamNameBytes) continue;
+    wire.emplace_back(static_cast<std::uint32_t>(message.kind) |
+                          (message.is_stand_in ? kQuotaStandIn : 0) |
+                          (message.has_bucket ? kQuotaHasBucket : 0),
+                      message.team, message.number, message.tokens,
+                      message.ahead, message.given_back,
+                      // Rounded up: after the wait there is a token.
+                      message.wait > Duration::zero()
+                          ? static_cast<std::uint32_t>(std::min<std::int64_t>(
+                                ToMillis(message.wait) + 1, kMaxQuotaWaitMs))
+                          : 0,
+                      message.keeper);
+  }
+  return wire;
+}
+
+// Leaves out messages of kinds that this release does not know.
+std::vector<QuotaMessage> DecodeQuotaMessages(
+    const std::vector<WireQuotaMessage>& wire) {
+  if (wire.size() > GossipMessage::kMaxQuotaMessages) {
+    throw msgpack::type_error();
+  }
+  std::vector<QuotaMessage> messages;
+  for (const auto& [kind, team, number, tokens, ahead, given_back, wait_ms,
+                    keeper] : wire) {
+    if (team.size() > GossipMessage::kMaxTeamNameBytes ||
+        keeper.size() > kMaxNameBytes) {
+      throw msgpack::type_error();
+    }
+    if ((kind & kQuotaKindMask) >= kQuotaMessageKindCount) continue;
+    messages.push_back(
+        {.kind = static_cast<QuotaMessageKind>(kind & kQuotaKindMask),
+         .team = team,
+         .number = number,
+         .tokens = std::min(tokens, kMaxQuotaTokens),
+         .ahead = std::min(ahead, kMaxQuotaTokens),
+         .given_back = std::min(given_back, kMaxQuotaTokens),
+         .wait = std::chrono::milliseconds(std::min(wait_ms, kMaxQuotaWaitMs)),
+         .keeper = keeper,
+         .is_stand_in = (kind & kQuotaStandIn) != 0,
+         .has_bucket = (kind & kQuotaHasBucket) != 0});
+  }
+  return messages;
+}
+
 GossipMessage ParseMessage(const WireMessage& wire) {
   const auto& [version, kind, number, about, digest, knows_fleet, revision,
                data_centres, members, confirmation_age, statements, demands,
-               sums, unbroken_for, state] = wire;
+               sums, unbroken_for, state, quota_messages] = wire;
   const bool exceeds_limits =
       members.empty() ||
       members.size() > Membership::kMaxUpdatesPerMessage + 1 ||
@@ -193,8 +256,8 @@
       .store_confirmation_age = DecodeAge(confirmation_age),
       .store_unbroken_for = DecodeAge(unbroken_for),
       .store_state = DecodeState(state, revision),
-      .statements =
-          DecodeStatements(statements, GossipMessage::kMaxStatements)};
+      .statements = DecodeStatements(statements, GossipMessage::kMaxStatements),
+      .quota_messages = DecodeQuotaMessages(quota_messages)};
   message.membership.sender = ParseMember(members.front(), data_centres).member;
   for (std::size_t i = 1; i < members.size(); ++i) {
     message.membership.updates.push_back(ParseMember(members[i], data_centres));
@@ -238,9 +301,7 @@
     sums.emplace_back(sum.upstream, sum.incarnation,
                       ToDemandUnits(sum.per_second));
   }
-  msgpack::sbuffer bytes;
-  msgpack::pack(
-      bytes,
+  const auto wire =
       WireMessage(kGossipVersion, static_cast<std::uint32_t>(membership.kind),
                   membership.probe_number, membership.target, membership.digest,
                   membership.knows_fleet_size, message.store_revision,
@@ -248,7 +309,20 @@
                   EncodeAge(message.store_confirmation_age),
                   EncodeStatements(message.statements), demands, sums,
                   EncodeAge(message.store_unbroken_for),
-                  EncodeState(message.store_state, message.store_revision)));
+                  EncodeState(message.store_state, message.store_revision),
+                  EncodeQuotaMessages(message.quota_messages));
+  // Most datagrams carry nothing about quotas, and omit the last field.
+  std::size_t left = std::tuple_size_v<WireMessage>;
+  if (message.quota_messages.empty()) --left;
+  msgpack::sbuffer bytes;
+  msgpack::packer<msgpack::sbuffer> stream(bytes);
+  stream.pack_array(static_cast<std::uint32_t>(left));
+  const auto pack_next = [&](const auto& field) {
+    if (left == 0) return;
+    stream.pack(field);
+    --left;
+  };
+  std::apply([&](const auto&... fields) { (pack_next(fields), ...); }, wire);
   return {bytes.data(), bytes.size()};
 }
 
--- a/lacewingknot/edge/gossip_messages.h
+++ b/lacewingknot/edge/gossip_messages.h
@@ -26,6 +26,7 @@
 #include "lacewingknot/policy/membership.h"
 #include "lacewingknot/policy/statement_table.h"
 #include "lacewingknot/policy/store_state.h"
+#include "lacewingknot/policy/team_quota.h"
 
 namespace lacewingknot::edge {
 
@@ -48,7 +49,14 @@
   std::vector<DemandReport> demands;
   std::vector<DemandSum> demand_sums;
 
+  // Asks of daemons for tokens of teams, and what keepers answer
+  // (policy/team_quota.h); at most kMaxQuotaMessages. Those of teams with names
+  // of more than kMaxTeamNameBytes are left out.
+  std::vector<QuotaMessage> quota_messages;
+
   static constexpr std::size_t kMaxDemands = 40;
+  static constexpr std::size_t kMaxQuotaMessages = 16;
+  static constexpr std::size_t kMaxTeamNameBytes = 64;
   // So many fit in a datagram beside a full set of membership updates.
   static constexpr std::size_t kMaxStatements = 24;
 };
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -50,6 +50,11 @@
                             .processor_share = options_.processor_share},
                    .seed_addresses = options_.seeds,
                    .random_seed = options_.random_seed}),
+      quota_keeper_({.self = options_.listen,
+                     .bounds = options_.quota_bounds.value_or(QuotaBounds())},
+                    BootClock::now()),
+      contact_(options_.data_centre),
+      contact_timer_(io),
       random_(static_cast<std::uint32_t>(options_.random_seed)) {}
 
 Result<void> PeerGossip::Start() {
@@ -65,6 +70,16 @@
     return Error{ErrorType::kConnectFailed,
                  "cannot bind " + options_.listen + ": " + error.message()};
   }
+  if (options_.quota_bounds) {
+    std::vector<Member> seeds;
+    for (const std::string& seed : options_.seeds) {
+      seeds.push_back({.address = seed});
+    }
+    if (!has_other_seeds()) seeds = {{.address = options_.listen}};
+    quota_keeper_.SetMembers(seeds, !has_other_seeds(), BootClock::now());
+    options_.on_quota_members(seeds, !has_other_seeds());
+    CheckContact();
+  }
   Receive();
   RunRound();
   return Ok();
@@ -79,6 +94,7 @@
   Send(membership_.Tick(now));
   ReportFleetSize();
   ReportMembers();
+  ReportQuotaMembers(now);
   PingSentinels(now);
   timer_.expires_after(membership_.interval());
   timer_.async_wait([this](boost::system::error_code error) {
@@ -244,6 +260,129 @@
   }
 }
 
+bool PeerGossip::has_other_seeds() const {
+  return std::any_of(
+      options_.seeds.begin(), options_.seeds.end(),
+      [&](const std::string& seed) { return seed != options_.listen; });
+}
+
+void PeerGossip::ReportQuotaMembers(TimePoint now) {
+  if (!options_.quota_bounds || quota_version_ == membership_.version() ||
+      (has_other_seeds() && !membership_.knows_fleet_size(now))) {
+    return;
+  }
+  quota_version_ = membership_.version();
+  const std::vector<Member> alive = membership_.AliveMembers();
+  quota_keeper_.SetMembers(alive, true, now);
+  contact_.SetMembers(alive, now);
+  options_.on_quota_members(alive, true);
+}
+
+void PeerGossip::SetQuotas(QuotaTable quotas) {
+  has_quotas_ = !quotas.empty();
+  quota_keeper_.SetQuotas(std::move(quotas), BootClock::now());
+}
+
+void PeerGossip::CheckContact() {
+  const TimePoint now = BootClock::now();
+  if (has_quotas_) {
+    std::vector<OutgoingMemberMessage> probes;
+    for (const std::string& data_centre : contact_.TakeDueProbes(now)) {
+      std::vector<const Member*> members;
+      for (const Member& member : alive_) {
+        if (member.data_centre == data_centre &&
+            member.address != options_.listen) {
+          members.push_back(&member);
+        }
+      }
+      if (members.empty()) continue;
+      const Member* chosen = members[random_() % members.size()];
+      probes.push_back(membership_.Ping(chosen->address));
+    }
+    Send(probes);
+    UpdateMayGrant(now);
+  }
+  contact_timer_.expires_after(kContactCheckInterval);
+  contact_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) CheckContact();
+  });
+}
+
+void PeerGossip::UpdateMayGrant(TimePoint now) {
+  const bool may_grant = contact_.HasMajority(now);
+  quota_keeper_.SetMayGrant(may_grant, now);
+  if (std::exchange(may_grant_, may_grant) == may_grant) return;
+  if (options_.on_quota_contact) options_.on_quota_contact(may_grant);
+}
+
+void PeerGossip::OnQuotaMessages(const std::string& from,
+                                 std::span<const QuotaMessage> messages) {
+  if (!options_.quota_bounds) return;
+  const TimePoint now = BootClock::now();
+  UpdateMayGrant(now);
+  std::vector<QuotaMessage> answers;
+  std::vector<OutgoingQuotaMessage> outgoing;
+  for (const QuotaMessage& message : messages) {
+    if (message.kind == QuotaMessageKind::kGrant ||
+        message.kind == QuotaMessageKind::kElsewhere) {
+      answers.push_back(message);
+    }
+    for (auto& sent : quota_keeper_.OnMessage(from, message, now)) {
+      outgoing.push_back(std::move(sent));
+    }
+  }
+  if (!answers.empty()) options_.on_quota_messages(from, std::move(answers));
+  for (const std::string& team : quota_keeper_.TakeStartedEmpty()) {
+    if (options_.on_quota_takeover) options_.on_quota_takeover(team);
+  }
+  SendQuotaMessages(outgoing);
+}
+
+void PeerGossip::SendQuotaMessages(
+    std::span<const OutgoingQuotaMessage> messages) {
+  std::map<std::string, std::vector<QuotaMessage>> by_receiver;
+  for (const OutgoingQuotaMessage& outgoing : messages) {
+    by_receiver[outgoing.to].push_back(outgoing.message);
+  }
+  for (auto& [to, group] : by_receiver) {
+    if (to == options_.listen) {
+      OnQuotaMessages(to, group);
+      continue;
+    }
+    constexpr std::size_t kMax = GossipMessage::kMaxQuotaMessages;
+    for (std::size_t first = 0; first < group.size(); first += kMax) {
+      const auto part =
+          std::span(group).subspan(first, std::min(kMax, group.size() - first));
+      SendQuotaDatagram(to, {part.begin(), part.end()});
+    }
+  }
+}
+
+void PeerGossip::SendQuotaDatagram(const std::string& to,
+                                   std::vector<QuotaMessage> messages) {
+  const TimePoint now = BootClock::now();
+  constexpr double kMaxBytes = kMaxQuotaBytesPerSecond * kQuotaBurstSeconds;
+  quota_bytes_left_ = std::min(
+      kMaxBytes,
+      quota_bytes_left_ +
+          std::chrono::duration<double>(now - quota_bytes_at_).count() *
+              kMaxQuotaBytesPerSecond);
+  quota_bytes_at_ = now;
+  const bool is_ask = std::all_of(
+      messages.begin(), messages.end(), [](const QuotaMessage& message) {
+        return message.kind == QuotaMessageKind::kAsk;
+      });
+  if (quota_bytes_left_ < (is_ask ? kQuotaReservedForAnswers * kMaxBytes : 0)) {
+    if (options_.on_quota_message_dropped) options_.on_quota_message_dropped();
+    return;
+  }
+  const std::size_t bytes =
+      SendDatagram(to, {.membership = membership_.MakeCarrier(to).message,
+                        .store_revision = LatestStoreReport().revision,
+                        .quota_messages = std::move(messages)});
+  quota_bytes_left_ -= static_cast<double>(bytes + kUdpAndIpHeaderBytes);
+}
+
 void PeerGossip::Receive() {
   socket_.async_receive_from(
       asio::buffer(receive_buffer_), sender_endpoint_,
@@ -292,6 +431,10 @@
                     .demand_sums = std::move(sums)});
     }
   }
+  contact_.OnHeard(membership.sender.data_centre, now);
+  if (!message.value().quota_messages.empty()) {
+    OnQuotaMessages(membership.sender.address, message.value().quota_messages);
+  }
   if (!message.value().demand_sums.empty() && options_.on_demand_sums) {
     options_.on_demand_sums(message.value().demand_sums);
   }
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -36,6 +36,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -47,6 +48,7 @@
 #include "lacewingknot/policy/demand_shares.h"
 #include "lacewingknot/policy/membership.h"
 #include "lacewingknot/policy/statement_table.h"
+#include "lacewingknot/policy/team_quota.h"
 #include "lacewingknot/policy/watch_schedule.h"
 
 namespace lacewingknot::edge {
@@ -70,6 +72,23 @@
         on_statements;
     // Called with the answers of keepers to SendDemands().
     std::function<void(std::vector<DemandSum> sums)> on_demand_sums;
+    // What quotas of teams tolerate; empty: none are enforced.
+    std::optional<QuotaBounds> quota_bounds;
+    // Called with what keepers answer to SendQuotaMessages().
+    std::function<void(std::string from, std::vector<QuotaMessage> messages)>
+        on_quota_messages;
+    // Called with the daemons among which the keepers of quotas are: first the
+    // seeds, then the members.
+    std::function<void(std::vector<Member> members, bool is_whole_fleet)>
+        on_quota_members;
+    // Called when this daemon has taken over the bucket of `team` from a keeper
+    // that did not answer.
+    std::function<void(const std::string& team)> on_quota_takeover;
+    // Called when this daemon may, or may no longer, grant tokens.
+    std::function<void(bool may_grant)> on_quota_contact;
+    // Called when a datagram about quotas was dropped, because too many were
+    // sent.
+    std::function<void()> on_quota_message_dropped;
     // Called when daemon `address` has just started and should be told what
     // upstreams have said, by SendStatements().
     std::function<void(std::string address)> on_statements_wanted;
@@ -97,6 +116,11 @@
   // Reports this daemon's demand to the keepers of the upstreams
   // (policy/demand_shares.h). Control thread only.
   void SendDemands(std::span<const DemandReport> reports);
+  // Sets the quotas of teams, for those whose keeper this daemon is. Control
+  // thread only, like the next.
+  void SetQuotas(QuotaTable quotas);
+  // Sends asks for tokens; those to this daemon are answered by itself.
+  void SendQuotaMessages(std::span<const OutgoingQuotaMessage> messages);
   // Whether other daemons ask this one about the store. Thread-safe.
   bool is_sentinel() const { return is_sentinel_; }
 
@@ -117,7 +141,26 @@
   // Statements that wait to be sent at most; the oldest ones are dropped.
   static constexpr std::size_t kMaxPendingStatements = 192;
 
+  // Bound of the traffic that quotas cause, in bytes with UDP and IP headers,
+  // and the part of the bytes saved up that asks leave to answers.
+  static constexpr double kMaxQuotaBytesPerSecond = 5'500;
+  static constexpr double kQuotaBurstSeconds = 2;
+  static constexpr double kQuotaReservedForAnswers = 0.5;
+  static constexpr std::size_t kUdpAndIpHeaderBytes = 28;
+  static constexpr Duration kContactCheckInterval =
+      std::chrono::milliseconds(150);
+
   void RunRound();
+  void ReportQuotaMembers(TimePoint now);
+  bool has_other_seeds() const;
+  // Keeps in contact with the data centres, and checks whether this daemon may
+  // grant tokens.
+  void CheckContact();
+  void UpdateMayGrant(TimePoint now);
+  void OnQuotaMessages(const std::string& from,
+                       std::span<const QuotaMessage> messages);
+  void SendQuotaDatagram(const std::string& to,
+                         std::vector<QuotaMessage> messages);
   void SendPendingStatements();
   // Returns the answers to reports of `daemon`.
   std::vector<DemandSum> RecordDemands(std::string_view daemon,
@@ -151,6 +194,14 @@
   std::vector<Member> alive_;
   DemandKeeper demand_keeper_;
   std::uint64_t reported_version_ = 0;
+  TeamQuotaKeeper quota_keeper_;
+  FleetContact contact_;
+  bool has_quotas_ = false;
+  bool may_grant_ = true;
+  std::uint64_t quota_version_ = 0;
+  double quota_bytes_left_ = kMaxQuotaBytesPerSecond * kQuotaBurstSeconds;
+  TimePoint quota_bytes_at_{};
+  boost::asio::steady_timer contact_timer_;
   // Sentinels that this daemon asks, in order of preference.
   std::vector<std::string> sentinels_;
   std::atomic<bool> is_sentinel_ = false;
--- a/lacewingknot/edge/relay_link.cc
+++ b/lacewingknot/edge/relay_link.cc
@@ -94,6 +94,7 @@
     const auto found = pending_attempts_.find(delegated.number);
     if (found == pending_attempts_.end()) continue;
     found->second->sent = true;
+    found->second->request->was_sent = true;
     found->second->sent_at = now;
   }
   channel_->Send(request);
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -71,6 +71,7 @@
   Log(kNoStatus, "abandoned", "client_left");
   options_.answer = nullptr;
   AbandonAttempts();
+  GiveTokenBack();
 }
 
 void RequestSession::Finish(const ClientAnswer& answer,
@@ -82,6 +83,15 @@
   if (callback) callback(answer);
   Log(status, outcome, cause);
   AbandonAttempts();
+  GiveTokenBack();
+}
+
+void RequestSession::GiveTokenBack() {
+  TeamQuotas* quotas = core().team_quotas();
+  if (!options_.has_quota_token || outbound_->was_sent || quotas == nullptr) {
+    return;
+  }
+  quotas->GiveBack(team()->name);
 }
 
 void RequestSession::OnKeysWithdrawn() {
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -38,6 +38,7 @@
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusRequestTimeout = 408;
 inline constexpr int kStatusBodyTooLarge = 413;
+inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kStatusHeadersTooLarge = 431;
 inline constexpr int kStatusNotImplemented = 501;
 inline constexpr int kStatusBadGateway = 502;
@@ -53,9 +54,8 @@
 // run. The edge gives such a status to a request that may run at most once only
 // if it knows that.
 constexpr bool StatesNotRun(int status) {
-  constexpr int kTooManyRequests = 429;
   return status == kStatusRequestTimeout || status == kMisdirectedStatus ||
-         status == kTooManyRequests || status == kStatusUnavailable;
+         status == kStatusTooManyRequests || status == kStatusUnavailable;
 }
 
 // Cause of requests that end because their key was withdrawn.
@@ -73,6 +73,8 @@
     // The team whose key the client presented; none if the configuration has
     // no teams or the route is public.
     TeamTable::Match team;
+    // The request has a token of the team's quota.
+    bool has_quota_token = false;
     TimePoint started_at{};  // When the request had been read.
     // Network time of the request and its answer, which the client's latency
     // includes.
@@ -138,6 +140,8 @@
   bool finished() const { return finished_; }
 
  private:
+  // Returns the token of the quota if nothing was sent.
+  void GiveTokenBack();
   void Log(int status, std::string_view outcome, std::string_view cause);
 
   Options options_;
--- /dev/null
+++ b/lacewingknot/edge/team_quotas.cc
@@ -0,0 +1,171 @@
+#include "lacewingknot/edge/team_quotas.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lacewingknot/base/event_log.h"
+
+namespace lacewingknot::edge {
+namespace {
+
+using Kind = TeamQuotaClient::Outcome::Kind;
+
+// Asks of one daemon per millisecond at most, so that the numbers of a new
+// process are higher than those of earlier ones.
+constexpr std::uint64_t kAsksPerMillisecond = 1'000;
+
+}  // namespace
+
+QuotaTable QuotasOf(const TeamTable& teams) {
+  QuotaTable quotas;
+  for (const Team& team : teams.teams()) {
+    if (team.rate_per_second <= 0) continue;
+    quotas[team.name] = {.rate_per_second = team.rate_per_second,
+                         .burst = team.burst};
+  }
+  return quotas;
+}
+
+TeamQuotas::TeamQuotas(Options options)
+    : options_(std::move(options)),
+      client_({.self = options_.self,
+               .bounds = options_.bounds,
+               .first_number = static_cast<std::uint64_t>(ToMillis(
+                                   BootClock::now().time_since_epoch())) *
+                               kAsksPerMillisecond}),
+      own_keeper_({.self = options_.self, .bounds = options_.bounds},
+                  BootClock::now()) {
+  if (options_.send) return;
+  const std::vector<Member> members{{.address = options_.self}};
+  own_keeper_.SetMembers(members, true, BootClock::now());
+  client_.SetMembers(members, true);
+}
+
+void TeamQuotas::SetQuotas(const QuotaTable& quotas) {
+  quotas_ = quotas;
+  std::erase_if(unlogged_, [&](const auto& entry) {
+    return !quotas.contains(entry.first);
+  });
+  own_keeper_.SetQuotas(quotas, BootClock::now());
+  client_.SetQuotas(quotas);
+  Advance();
+}
+
+void TeamQuotas::SetMembers(std::vector<Member> members, bool is_whole_fleet) {
+  client_.SetMembers(std::move(members), is_whole_fleet);
+}
+
+void TeamQuotas::OnMessages(std::string_view from,
+                            std::span<const QuotaMessage> messages) {
+  const TimePoint now = BootClock::now();
+  for (const QuotaMessage& message : messages) {
+    client_.OnMessage(from, message, now);
+  }
+  Advance();
+}
+
+std::optional<TeamQuotas::Ticket> TeamQuotas::Acquire(std::string_view team,
+                                                      TimePoint latest,
+                                                      Callback callback) {
+  const Ticket ticket = ++last_ticket_;
+  const auto outcome = client_.Acquire(team, ticket, latest, BootClock::now());
+  if (outcome.kind != Kind::kWaits) {
+    Decide(std::string(team), outcome, callback);
+    Advance();
+    return std::nullopt;
+  }
+  waiting_.emplace(ticket, Waiting{.team = std::string(team),
+                                   .callback = std::move(callback)});
+  Advance();
+  if (!waiting_.contains(ticket)) return std::nullopt;
+  return ticket;
+}
+
+void TeamQuotas::Abandon(std::string_view team, Ticket ticket) {
+  waiting_.erase(ticket);
+  client_.Abandon(team, ticket);
+}
+
+void TeamQuotas::GiveBack(std::string_view team) {
+  client_.GiveBack(team, BootClock::now());
+  Advance();
+}
+
+void TeamQuotas::Advance() {
+  const TimePoint now = BootClock::now();
+  client_.Tick(now);
+  auto messages = client_.TakeMessages();
+  if (options_.send) {
+    if (!messages.empty()) options_.send(std::move(messages));
+  } else {
+    while (!messages.empty()) {
+      for (const OutgoingQuotaMessage& ask : messages) {
+        for (const auto& answer :
+             own_keeper_.OnMessage(options_.self, ask.message, now)) {
+          client_.OnMessage(options_.self, answer.message, now);
+        }
+      }
+      messages = client_.TakeMessages();
+    }
+  }
+  options_.timers->Cancel(timer_);
+  if (const auto next = client_.NextTick()) {
+    timer_ = options_.timers->At(*next, [this] { Advance(); });
+  }
+  // Last, because callbacks may acquire or give back tokens.
+  for (const auto& outcome : client_.TakeOutcomes()) {
+    const auto found = waiting_.find(outcome.request);
+    if (found == waiting_.end()) {
+      continue;
+    }
+    const Waiting waiting = std::move(found->second);
+    waiting_.erase(found);
+    Decide(waiting.team, outcome, waiting.callback);
+  }
+}
+
+void TeamQuotas::Decide(const std::string& team,
+                        const TeamQuotaClient::Outcome& outcome,
+                        const Callback& callback) {
+  if (quotas_.contains(team)) Count(team, outcome, BootClock::now());
+  callback({.is_allowed = outcome.kind == Kind::kAllowed,
+            .retry_after = outcome.retry_after});
+}
+
+void TeamQuotas::Count(const std::string& team,
+                       const TeamQuotaClient::Outcome& outcome, TimePoint now) {
+  const bool is_allowed = outcome.kind == Kind::kAllowed;
+  if (outcome.is_fallback) {
+    options_.metrics->OnQuotaDecision(is_allowed ? "fallback_allowed"
+                                                 : "fallback_refused");
+  } else {
+    options_.metrics->OnQuotaDecision(is_allowed ? "allowed" : "refused");
+  }
+  if (is_allowed && !outcome.is_fallback) return;
+  Unlogged& unlogged = unlogged_[team];
+  if (!outcome.is_fallback) {
+    ++unlogged.refused;
+  } else if (is_allowed) {
+    ++unlogged.fallback_allowed;
+  } else {
+    ++unlogged.fallback_refused;
+  }
+  if (now - unlogged.logged_at < kLogInterval) return;
+  const TeamQuota& quota = quotas_.find(team)->second;
+  if (unlogged.refused > 0) {
+    LogEvent(Event::kQuotaExceeded,
+             {{"team", team},
+              {"refused", unlogged.refused},
+              {"retry_after_ms", ToMillis(outcome.retry_after)},
+              {"rate", std::to_string(quota.rate_per_second)},
+              {"burst", std::to_string(quota.burst)}});
+  }
+  if (unlogged.fallback_allowed + unlogged.fallback_refused > 0) {
+    LogEvent(Event::kQuotaFallback, {{"team", team},
+                                     {"allowed", unlogged.fallback_allowed},
+                                     {"refused", unlogged.fallback_refused}});
+  }
+  unlogged = {.logged_at = now};
+}
+
+}  // namespace lacewingknot::edge
--- a/lacewingknot/edge/upstream_connection.cc
+++ b/lacewingknot/edge/upstream_connection.cc
@@ -116,6 +116,7 @@
   state_ = State::kBusy;
   attempt_ = std::move(attempt);
   attempt_->sent = true;
+  attempt_->request->was_sent = true;
   attempt_->sent_at = now;
   stray_answers_ = 0;
   interim_answers_ = 0;
--- a/lacewingknot/policy/demand_shares.cc
+++ b/lacewingknot/policy/demand_shares.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "lacewingknot/policy/relay_ranking.h"
 
@@ -30,18 +31,36 @@
 }
 
 std::string KeeperOf(std::string_view upstream, std::span<const Member> alive) {
-  const std::uint64_t key = XXH3_64bits(upstream.data(), upstream.size());
-  const Member* keeper = nullptr;
-  double best = 0;
+  auto ranked = RankKeepers(upstream, alive, 1);
+  return ranked.empty() ? std::string() : std::move(ranked.front());
+}
+
+std::vector<std::string> RankKeepers(std::string_view name,
+                                     std::span<const Member> alive,
+                                     std::size_t count) {
+  const std::uint64_t key = XXH3_64bits(name.data(), name.size());
+  struct Candidate {
+    double score = 0;
+    const Member* member = nullptr;
+  };
+  std::vector<Candidate> ranked;  // The best `count` so far, best first.
   for (const Member& member : alive) {
     const double score = RendezvousScore(
         {.address = member.address, .processor_share = member.processor_share},
         key);
-    if (keeper != nullptr && score <= best) continue;
-    keeper = &member;
-    best = score;
+    const auto position =
+        std::find_if(ranked.begin(), ranked.end(),
+                     [&](const auto& other) { return score > other.score; });
+    if (position == ranked.end() && ranked.size() >= count) continue;
+    ranked.insert(position, {.score = score, .member = &member});
+    if (ranked.size() > count) ranked.pop_back();
+  }
+  std::vector<std::string> addresses;
+  addresses.reserve(ranked.size());
+  for (const Candidate& candidate : ranked) {
+    addresses.push_back(candidate.member->address);
   }
-  return keeper == nullptr ? std::string() : keeper->address;
+  return addresses;
 }
 
 std::optional<DemandSum> DemandKeeper::OnReport(std::string_view daemon,
--- a/lacewingknot/policy/demand_shares.h
+++ b/lacewingknot/policy/demand_shares.h
@@ -29,6 +29,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lacewingknot/base/clock.h"
 #include "lacewingknot/policy/membership.h"
@@ -72,6 +73,12 @@
 // Daemons with the same member list agree.
 std::string KeeperOf(std::string_view upstream, std::span<const Member> alive);
 
+// Returns the addresses of the first `count` daemons that may be the keeper of
+// `name`, the keeper first, then those that stand in for it.
+std::vector<std::string> RankKeepers(std::string_view name,
+                                     std::span<const Member> alive,
+                                     std::size_t count);
+
 // What the keeper knows.
 class DemandKeeper {
  public:
