--- a/lacewingknot/policy/contents_source.cc
+++ b/lacewingknot/policy/contents_source.cc
@@ -41,8 +41,9 @@
   if (is_following_) left_ = 0;
   if (is_following_ && latest_.hops == 0 && !reads_store) OnStoreAnswered();
   decision.peer = peer_;
-  const bool needs_store =
-      reads_store || (!is_following_ && MayCallStore(now, state));
+  const bool needs_store = reads_store ||
+                           (!is_following_ && MayCallStore(now, state)) ||
+                           (is_store_lost_ && latest_.hops > 0);
   decision.calls_store = needs_store && now >= store_retry_at_;
   decision.until = needs_store && !decision.calls_store
                        ? std::min(NextDecision(now), store_retry_at_)
