--- a/lacewingknot/edge/contents_messages.cc
+++ b/lacewingknot/edge/contents_messages.cc
@@ -99,7 +99,7 @@
   }
   return {.kind = static_cast<ContentsKind>(kind),
           .epoch = epoch,
-          .current_revision = current,
+          .store_revision = current,
           .last_page_revision = last_page,
           .base_revision = base,
           .revision = revision,
@@ -137,7 +137,7 @@
   packer.pack(kContentsVersion);
   packer.pack(static_cast<std::uint32_t>(message.kind));
   packer.pack(message.epoch);
-  packer.pack(message.current_revision);
+  packer.pack(message.store_revision);
   packer.pack(message.last_page_revision);
   packer.pack(message.base_revision);
   packer.pack(message.revision);
--- a/lacewingknot/edge/contents_messages.h
+++ b/lacewingknot/edge/contents_messages.h
@@ -62,7 +62,7 @@
   std::uint64_t epoch = 0;  // Of the store; 0 if not known.
   // The latest revision that the store held at the time of the message's
   // contents, and of the last page if they were read in several.
-  std::uint64_t current_revision = 0;
+  std::uint64_t store_revision = 0;
   std::uint64_t last_page_revision = 0;
   // The revision that `kChanges` follow.
   std::uint64_t base_revision = 0;
--- a/lacewingknot/edge/contents_messages_test.cc
+++ b/lacewingknot/edge/contents_messages_test.cc
@@ -13,7 +13,7 @@
   return {
       .kind = ContentsKind::kSnapshot,
       .epoch = 3,
-      .current_revision = 412,
+      .store_revision = 412,
       .last_page_revision = 413,
       .base_revision = 400,
       .revision = 410,
--- a/lacewingknot/edge/contents_server.cc
+++ b/lacewingknot/edge/contents_server.cc
@@ -117,7 +117,7 @@
   if (!has_contents_ && !update.is_snapshot) return;
   const bool is_first = !std::exchange(has_contents_, true);
   const bool has_changes = !update.items.empty();
-  const std::uint64_t base = latest_.current_revision;
+  const std::uint64_t base = latest_.store_revision;
   // A source reads everything again after each loss of the store, mostly to
   // find the same contents.
   const bool is_same = HasContents(
@@ -171,7 +171,7 @@
   const StoreReport& report = latest_.report;
   return {.kind = kind,
           .epoch = latest_.epoch,
-          .current_revision = latest_.current_revision,
+          .store_revision = latest_.store_revision,
           .last_page_revision = latest_.last_page_revision,
           .revision = report.revision,
           .state = report.state,
--- a/lacewingknot/edge/contents_server.h
+++ b/lacewingknot/edge/contents_server.h
@@ -54,7 +54,7 @@
   TimePoint read_at{};
   StoreReport report;
   std::uint64_t epoch = 0;
-  std::uint64_t current_revision = 0;
+  std::uint64_t store_revision = 0;
   std::uint64_t last_page_revision = 0;
   // Since when the store has failed this daemon.
   std::optional<TimePoint> lost_since;
