Scatter sessions: a shard whose relay declined and whose upstreams are gone

Cause: since retries go first to data centres that only declined, the list of queried data centres may be empty; ChooseAnotherRelay() read its last element. The last relay is used only if a data centre was queried, and one that is queried again counts as queried. No unit test yet.

--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -21,8 +21,11 @@
   const Service& service = *route().services[index];
   const RelayTable& relays = core().relay_table();
   if (relays.QueriesDirectly(service.usable_data_centres())) return {};
-  const bool is_last_usable =
-      shard.last_relay && shard.last_relay->is_usable(now);
+  // Without a data centre, the last relay has declined, and the shard's
+  // upstreams are gone since.
+  const bool is_last_usable = shard.last_relay &&
+                              !shard.queried_data_centres.empty() &&
+                              shard.last_relay->is_usable(now);
   if (relays.mode() == RelayMode::kSpread && is_last_usable) {
     // It can use all replicas, and knows which ones were tried.
     return {.relay = shard.last_relay,
@@ -49,6 +52,7 @@
   const Service& service = *route().services[index];
   shard.last_relay = std::move(choice.relay);
   shard.queried_data_centres.push_back(choice.data_centre);
+  std::erase(shard.declined_data_centres, choice.data_centre);
   auto request = std::find_if(relay_requests_.begin(), relay_requests_.end(),
                               [&](const RelayRequest& other) {
                                 return other.relay == shard.last_relay;
