--- a/lacewingknot/edge/team_quotas_test.cc
+++ b/lacewingknot/edge/team_quotas_test.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using testing::EdgeFixture;
-using testing::FakeReply;
 using testing::RawClient;
 
 constexpr std::size_t kUdpAndIpHeaderBytes = 28;
--- a/lacewingknot/policy/concurrency_limit.cc
+++ b/lacewingknot/policy/concurrency_limit.cc
@@ -41,7 +41,7 @@
 // An upstream that answered nothing for this multiple of the expected time had
 // paused. Answers of a busy upstream follow each other sooner.
 constexpr double kPauseFactor = 4;
-// How long the estimate must suggest a lower or a higher limit. Disturbances of
+// How long the estimate must suggest a lower or a higher limit. Slowdowns of
 // 600 ms end before the first.
 constexpr Duration kLowerDelay = std::chrono::seconds(1);
 constexpr Duration kRaiseDelay = std::chrono::milliseconds(300);
--- a/lacewingknot/policy/concurrency_limit_test.cc
+++ b/lacewingknot/policy/concurrency_limit_test.cc
@@ -251,7 +251,7 @@
   }
 }
 
-// Guards against limits that follow disturbances of all requests.
+// Guards against limits that follow slowdowns of all requests.
 TEST(ConcurrencyLimitTest, Noise_ShortAndAtAllDepths_KeepsTheLimit) {
   const auto slowness = [](Duration time) {
     return time % seconds(5) < milliseconds(600) ? 2.5 : 1.0;
