--- a/lacewingknot/policy/store_version.h
+++ b/lacewingknot/policy/store_version.h
@@ -28,9 +28,9 @@
 #define LACEWINGKNOT_POLICY_STORE_VERSION_H_
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <optional>
+#include <tuple>
 
 #include "lacewingknot/base/clock.h"
 
@@ -40,7 +40,10 @@
   std::uint64_t epoch = 0;  // 0: unknown.
   std::uint64_t revision = 0;
 
-  auto operator<=>(const StoreVersion&) const = default;
+  friend bool operator==(const StoreVersion&, const StoreVersion&) = default;
+  friend bool operator<(const StoreVersion& a, const StoreVersion& b) {
+    return std::tie(a.epoch, a.revision) < std::tie(b.epoch, b.revision);
+  }
 };
 
 class EpochTracker {
--- a/lacewingknot/policy/team_quota.cc
+++ b/lacewingknot/policy/team_quota.cc
@@ -547,8 +547,9 @@
     if (answer.keeper != options_.self && !answer.keeper.empty() &&
         std::find(asked.begin(), asked.end(), answer.keeper) == asked.end()) {
       asked.push_back(answer.keeper);
-      if (!state.bucket)
+      if (!state.bucket) {
         SendClaims(answer.team, state, {&asked.back(), 1}, out);
+      }
     }
   }
   if (state.bucket) return;
--- a/lacewingknot/policy/team_quota_test.cc
+++ b/lacewingknot/policy/team_quota_test.cc
@@ -635,8 +635,10 @@
 
 TEST(FleetContactTest, Partition_OfOneInThree_OnlyLargerSideHasMajority) {
   TimePoint now{std::chrono::hours(1)};
+  constexpr int kMembers = 12;
   std::vector<Member> members;
-  for (int i = 0; i < 12; ++i) {
+  members.reserve(kMembers);
+  for (int i = 0; i < kMembers; ++i) {
     members.push_back({.address = std::to_string(i),
                        .data_centre = "dc-" + std::to_string(i % 3)});
   }
