Request decisions without effects, shared by requests and explanations

Cause: an explanation of a request must use the decisions of the request path, but some of them changed state while deciding. Change: access (configuration, route, key, stopping), deadlines, start of a query, relay choice and Retry-After are functions in edge/request_decisions; Service::ChooseForAttempt separates deciding from its effects, and PreviewAttempt decides without them; TeamQuotas::PreviewAcquire decides on copies. E1307 of a request before the first configuration, or of a stopping daemon, also has config=.

--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -17,16 +17,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// Network time that a client's latency includes: 3 ms each way, and another
-// round trip if the client has just opened the connection
-// (docs/design/platform.md).
-constexpr Duration kRoundTrip = std::chrono::milliseconds(6);
-constexpr Duration kRoundTripWithConnect = std::chrono::milliseconds(12);
-// Retry-After of requests that arrive before the first configuration.
-constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(400);
-// Retry-After of requests that arrive too late before this daemon stops. Others
-// can serve them at once.
-constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+// The client's latency includes another round trip if it has just opened the
+// connection.
+constexpr Duration kRoundTripWithConnect = 2 * kClientRoundTrip;
 
 // Returns the bytes in the socket's send queue that the peer has not received.
 int QueuedBytes(asio::ip::tcp::socket& socket) {
@@ -261,36 +254,20 @@
   keep_alive_ = request.keep_alive;
   is_head_request_ = request.method == "HEAD";
   const auto routes = options_.core->routes();
-  if (!routes || options_.core->directory() == nullptr) {
-    LogEvent(Event::kRequestRejected, {{"id", request.request_id},
-                                       {"status", kStatusUnavailable},
-                                       {"cause", "no_configuration_yet"}});
-    OnAnswer(
-        {.status = kStatusUnavailable, .retry_after = kNotReadyRetryAfter});
+  const AccessDecision decision =
+      DecideAccess(*options_.core, routes.get(), request.host, request.target,
+                   request.credentials, BootClock::now());
+  if (decision.is_refused()) {
+    Refuse(request, routes.get(), decision);
     return;
   }
-  const BoundRoute* route = routes->Find(request.host, request.target);
-  if (route == nullptr) {
-    LogEvent(Event::kRequestRejected, {{"id", request.request_id},
-                                       {"status", kStatusNotFound},
-                                       {"cause", "no_route"},
-                                       {"config", routes->table->version()}});
-    OnAnswer({.status = kStatusNotFound});
-    return;
-  }
-  const auto team = Authenticate(*routes, *route, request);
-  if (!team) return;
-  if (options_.core->final_deadline() - BootClock::now() <
-      route->spec->target_latency) {
-    LogEvent(Event::kRequestRejected, {{"id", request.request_id},
-                                       {"status", kStatusUnavailable},
-                                       {"cause", "stopping"}});
-    OnAnswer(
-        {.status = kStatusUnavailable, .retry_after = kStoppingRetryAfter});
-    return;
+  if (routes->table->teams().empty()) {
+    RestoreWithheldHeaders(request);
+  } else {
+    EraseWithheldHeaders(request);
   }
   request_read_at_ = BootClock::now();
-  AwaitQuota(std::move(request), routes, *route, *team);
+  AwaitQuota(std::move(request), routes, *decision.route, decision.team);
 }
 
 void ClientConnection::AwaitQuota(ClientRequest request,
@@ -320,7 +297,7 @@
     }
     LogEvent(Event::kRequestRejected, {{"id", waiting->request_id},
                                        {"status", kStatusTooManyRequests},
-                                       {"cause", "over_quota"},
+                                       {"cause", kCauseOverQuota},
                                        {"team", team.team->name},
                                        {"config", routes->table->version()}});
     self->options_.core->metrics().OnTeamRequest(team.team->name, "over_quota");
@@ -332,33 +309,29 @@
   if (ticket) quota_wait_.emplace(name, *ticket);
 }
 
-std::optional<TeamTable::Match> ClientConnection::Authenticate(
-    const BoundTable& routes, const BoundRoute& route, ClientRequest& request) {
-  const TeamTable& teams = routes.table->teams();
-  if (teams.empty()) {
-    RestoreWithheldHeaders(request);
-    return TeamTable::Match{};
-  }
-  if (route.spec->is_public) {
-    EraseWithheldHeaders(request);
-    return TeamTable::Match{};
+void ClientConnection::Refuse(const ClientRequest& request,
+                              const BoundTable* routes,
+                              const AccessDecision& decision) {
+  ClientAnswer answer{.status = decision.status,
+                      .retry_after = decision.retry_after};
+  if (decision.status == kStatusUnauthorized) {
+    LogEvent(Event::kRequestUnauthorized,
+             {{"id", request.request_id},
+              {"route", decision.route->spec->name},
+              {"cause", decision.cause},
+              {"config", routes->table->version()}});
+    options_.core->metrics().OnUnauthorized(decision.cause);
+    answer.headers = kChallengeHeader;
+  } else {
+    LogEvent(
+        Event::kRequestRejected,
+        {{"id", request.request_id},
+         {"status", decision.status},
+         {"cause", decision.cause},
+         {"config",
+          routes == nullptr ? std::uint64_t{0} : routes->table->version()}});
   }
-  const std::string_view key = BearerKey(request.credentials);
-  const TeamTable::Match match =
-      key.empty() ? TeamTable::Match{} : teams.Find(key);
-  const std::string_view cause = request.credentials.empty() ? "key_missing"
-                                 : key.empty()               ? "key_malformed"
-                                                             : "key_unknown";
-  EraseWithheldHeaders(request);
-  if (match) return match;
-  LogEvent(Event::kRequestUnauthorized, {{"id", request.request_id},
-                                         {"route", route.spec->name},
-                                         {"cause", cause},
-                                         {"config", routes.table->version()}});
-  options_.core->metrics().OnUnauthorized(cause);
-  OnAnswer({.status = kStatusUnauthorized,
-            .headers = std::string(kChallengeHeader)});
-  return std::nullopt;
+  OnAnswer(answer);
 }
 
 void ClientConnection::StartRequest(ClientRequest request,
@@ -370,7 +343,7 @@
     if (const auto self = weak.lock()) self->OnAnswer(given);
   };
   const Duration round_trip =
-      request_count_ == 1 ? kRoundTripWithConnect : kRoundTrip;
+      request_count_ == 1 ? kRoundTripWithConnect : kClientRoundTrip;
   auto session = StartSession({.core = options_.core,
                                .routes = std::move(routes),
                                .route = &route,
--- a/lacewingknot/edge/client_connection.h
+++ b/lacewingknot/edge/client_connection.h
@@ -26,6 +26,7 @@
 
 #include "lacewingknot/edge/edge_core.h"
 #include "lacewingknot/edge/http_messages.h"
+#include "lacewingknot/edge/request_decisions.h"
 #include "lacewingknot/edge/request_session.h"
 
 namespace lacewingknot::edge {
@@ -69,12 +70,9 @@
   void BeginRequest();
   void OnHeader();
   void OnRequest();
-  // Returns the team whose key `request` carries, and erases the key from
-  // `request`. Returns empty if the request was answered, because it needs a
-  // key and has no valid one.
-  std::optional<TeamTable::Match> Authenticate(const BoundTable& routes,
-                                               const BoundRoute& route,
-                                               ClientRequest& request);
+  // Answers a request that `decision` refuses.
+  void Refuse(const ClientRequest& request, const BoundTable* routes,
+              const AccessDecision& decision);
   // Starts the request once it has a token of the team's quota, or answers it
   // with 429.
   void AwaitQuota(ClientRequest request,
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -257,6 +257,7 @@
 void EdgeCore::ApplyRouting(const std::shared_ptr<const RoutingTable>& table) {
   auto bound = std::make_shared<BoundTable>();
   bound->table = table;
+  bound->in_force_since = BootClock::now();
   bound->routes.reserve(table->routes().size());
   // Spreads the data centres' starting points over the round-robin cycle.
   const double phase =
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -80,6 +80,7 @@
 struct BoundTable {
   std::shared_ptr<const RoutingTable> table;
   std::vector<BoundRoute> routes;  // In the order of `table`.
+  TimePoint in_force_since{};
 
   const BoundRoute* Find(std::string_view host, std::string_view path) const;
 };
@@ -160,6 +161,9 @@
   void EnforceQuotas(const QuotaBounds& bounds);
   // Null if no quotas are enforced.
   TeamQuotas* team_quotas() { return team_quotas_ ? &*team_quotas_ : nullptr; }
+  const TeamQuotas* team_quotas() const {
+    return team_quotas_ ? &*team_quotas_ : nullptr;
+  }
   bool is_enabled(Mechanism mechanism) const {
     return !options_.disabled.Contains(mechanism);
   }
@@ -176,16 +180,22 @@
     return answer_budget_;
   }
   const RelayTable& relay_table() const { return relays_; }
+  const std::string& vm() const { return options_.vm; }
+  const std::string& data_centre() const { return options_.data_centre; }
   // Null if neither a route nor an upstream names the service.
   ServicePtr FindService(std::string_view name) const;
   const Directory* directory() const { return directory_.get(); }
 
   boost::asio::io_context& io() { return *options_.io; }
   TimerQueue& timers() { return timers_; }
+  const TimerQueue& timers() const { return timers_; }
   const HeaderNames& names() const { return *options_.names; }
   EdgeMetrics& metrics() { return *options_.metrics; }
+  const EdgeMetrics& metrics() const { return *options_.metrics; }
   // Returns a number that is unique among the queries of this daemon.
   std::uint64_t NextQueryNumber() { return ++last_query_number_; }
+  // Returns what NextQueryNumber() will return.
+  std::uint64_t upcoming_query_number() const { return last_query_number_ + 1; }
 
  private:
   // Fractions of the fleet's extra-load ratio and base allowance that are used.
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -9,8 +9,6 @@
 namespace lacewingknot::edge {
 namespace {
 
-// Retry-After of a request that no upstream could take in time.
-constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(250);
 constexpr int kFirstServerErrorStatus = 500;
 
 }  // namespace
@@ -34,18 +32,13 @@
 
 bool PassSession::Wait(AttemptKind kind, TimePoint now) {
   if (!service_->WithheldUntil(now)) return false;
-  // A request waits beyond its latency objective only if no other waits, so
-  // that sustained overload does not make every answer late.
-  const TimePoint end =
-      service_->waiting().empty()
-          ? deadline()
-          : std::min(deadline(), started_at() + spec().target_latency);
   // Upstreams that refused it may take it when they open again.
   first_excluded_ = tried_.size();
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   waiting_ = service_->waiting().Add(
       {.priority = priority(),
-       .latest_start = end - service_->mean_latency(),
+       .latest_start =
+           LatestStartOfSingle(*service_, spec(), started_at(), deadline()),
        .start = [self,
                  kind](TimePoint turn) { return self->OnTurn(kind, turn); },
        .on_too_late =
@@ -75,12 +68,12 @@
 }
 
 bool PassSession::StartAttempt(AttemptKind kind, TimePoint now) {
-  Service::ReplicaCriteria criteria{
-      .tried = std::span(tried_).subspan(first_excluded_),
-      .mean_latency = service_->mean_latency()};
-  UpstreamPtr upstream = service_->Choose(criteria, now);
-  criteria.include_backing_off = true;
-  if (!upstream) upstream = service_->Choose(criteria, now);
+  // Retries too fall back to replicas that are backing off.
+  const UpstreamPtr upstream = service_->ChooseForAttempt(
+      AttemptKind::kFirst,
+      {.tried = std::span(tried_).subspan(first_excluded_),
+       .mean_latency = service_->mean_latency()},
+      now);
   if (!upstream) return false;
   if (kind == AttemptKind::kRetry &&
       !service_->TrySpendExtra(ExtraAttemptKind::kRetry, now)) {
@@ -194,13 +187,10 @@
 }
 
 void PassSession::Refuse(std::string_view cause) {
-  const TimePoint now = BootClock::now();
-  const Duration retry_after =
-      service_->WithheldUntil(now)
-          ? service_->waiting().RetryAfter(priority(), now)
-          : kRefusalRetryAfter;
-  Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
-         cause);
+  Finish({.status = kStatusUnavailable,
+          .retry_after =
+              SingleRetryAfter(*service_, priority(), BootClock::now())},
+         "refused", cause);
 }
 
 void PassSession::AbandonAttempts() {
--- a/lacewingknot/edge/request_session.cc
+++ b/lacewingknot/edge/request_session.cc
@@ -5,15 +5,12 @@
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/edge/pass_session.h"
+#include "lacewingknot/edge/request_decisions.h"
 #include "lacewingknot/edge/scatter_session.h"
 
 namespace lacewingknot::edge {
 namespace {
 
-// The answer is sent this long before the client's deadline, to allow for the
-// network and this daemon's own delay.
-constexpr Duration kAnswerDeadlineMargin = std::chrono::milliseconds(15);
-
 std::shared_ptr<const OutboundRequest> MakeOutbound(
     const ClientRequest& request, const HeaderNames& names, const Team* team) {
   auto outbound = std::make_shared<OutboundRequest>();
@@ -50,13 +47,7 @@
     : options_(std::move(options)),
       outbound_(MakeOutbound(options_.request, options_.core->names(),
                              options_.team.team)) {
-  Duration time_left = spec().timeout;
-  if (request().time_left) {
-    time_left = std::min(time_left, *request().time_left);
-  }
-  deadline_ = std::min(
-      started_at() + std::max(time_left - kAnswerDeadlineMargin, time_left / 2),
-      core().final_deadline());
+  deadline_ = AnswerDeadline(core(), spec(), request().time_left, started_at());
 }
 
 void RequestSession::Expire() {
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -17,6 +17,7 @@
 
 #include "lacewingknot/edge/attempt.h"
 #include "lacewingknot/edge/edge_core.h"
+#include "lacewingknot/edge/request_decisions.h"
 
 namespace lacewingknot::edge {
 
@@ -126,10 +127,7 @@
   const ClientRequest& request() const { return options_.request; }
   const Team* team() const { return options_.team.team; }
   // The team's priority, or else the route's.
-  std::int64_t priority() const {
-    return team() == nullptr ? spec().priority
-                             : team()->priority.value_or(spec().priority);
-  }
+  std::int64_t priority() const { return PriorityOf(spec(), team()); }
   const OutboundRequest& outbound() const { return *outbound_; }
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -13,20 +13,6 @@
 // answer has gone out without them, and their slots serve newer requests
 // better.
 constexpr double kAttemptDeadlineInObjectives = 2.5;
-// This daemon's own delay between the decision to answer and sending the
-// answer.
-constexpr Duration kResponseMargin = std::chrono::milliseconds(3);
-// Added per shard: merging and sending its part on the smallest VM (0.12 of a
-// core).
-constexpr Duration kResponseMarginPerShard = std::chrono::microseconds(80);
-// A request waits for the processor twice: before it is read, and before the
-// decision to answer.
-constexpr int kSchedulingDelaysPerRequest = 2;
-// The objective divided by this is the most that is subtracted for these waits.
-constexpr int kMaxSchedulingDelayDivisor = 4;
-// Retry-After of queries refused by admission: overload lasts for seconds.
-constexpr Duration kMinOverloadRetryAfter = std::chrono::milliseconds(300);
-constexpr Duration kMaxOverloadRetryAfter = std::chrono::milliseconds(1'500);
 // Requests with an objective up to this leave no time for a slow attempt.
 constexpr Duration kMaxUrgentObjective = std::chrono::milliseconds(80);
 // Missing shards named in one log line.
@@ -36,21 +22,8 @@
 
 ScatterSession::ScatterSession(Options options)
     : RequestSession(std::move(options)), shards_(route().services.size()) {
-  // The request waited for the processor as long as a timer does, and the
-  // answer will again.
-  const Duration scheduling_delay =
-      core().is_enabled(Mechanism::kSchedulingMargin)
-          ? std::min(core().timers().lag() * kSchedulingDelaysPerRequest,
-                     spec().target_latency / kMaxSchedulingDelayDivisor)
-          : Duration::zero();
-  const Duration response_margin =
-      kResponseMargin + kResponseMarginPerShard * shards_.size();
-  soft_deadline_ = std::min(deadline(), started_at() + spec().target_latency -
-                                            client_round_trip() -
-                                            response_margin - scheduling_delay);
-  if (!core().is_enabled(Mechanism::kPartialAnswers)) {
-    soft_deadline_ = deadline();
-  }
+  soft_deadline_ = SoftDeadlineOfQuery(core(), route(), started_at(),
+                                       deadline(), client_round_trip());
   attempt_deadline_ = std::min(
       deadline(),
       started_at() + std::chrono::duration_cast<Duration>(
@@ -74,20 +47,18 @@
 
 void ScatterSession::Start() {
   const TimePoint now = started_at();
+  const QueryStart start =
+      DecideQueryStart(route(), soft_deadline_, deadline(), now);
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (route().services[i]->HasUsableUpstream()) continue;
-    MarkFailed(shards_[i], kCauseNoReplica);
+    if (start.lacks_replica[i]) MarkFailed(shards_[i], kCauseNoReplica);
   }
-  if (DecideQuery(Progress(), now) == QueryDecision::kFail) {
+  if (start.has_too_few_shards) {
     core().OnUpstreamsLacking();
     Refuse();
     return;
   }
-  const std::optional<TimePoint> withheld_until = WithheldUntil(now);
-  if (withheld_until &&
-      *withheld_until + route().latency_stats->mean_latency() >
-          soft_deadline_) {
-    RefuseWithheld(*withheld_until, now);
+  if (start.is_withheld_too_long) {
+    RefuseWithheld(*start.withheld_until, now);
     return;
   }
   query_number_ = core().NextQueryNumber();
@@ -96,7 +67,7 @@
     RefuseByAdmission();
     return;
   }
-  if (!withheld_until) {
+  if (!start.withheld_until) {
     StartShards();
     return;
   }
@@ -104,7 +75,7 @@
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
   start_timer_ =
-      core().timers().At(*withheld_until, [self] { self->StartShards(); });
+      core().timers().At(*start.withheld_until, [self] { self->StartShards(); });
 }
 
 void ScatterSession::StartShards() {
@@ -119,17 +90,14 @@
     Shard& shard = shards_[i];
     if (shard.state != ShardState::kPending) continue;
     const Service& service = *route().services[i];
-    RelayTable::Choice choice = core().relay_table().ChooseRelay(
-        {.replica_data_centres = service.usable_data_centres(),
-         .group = service.relay_group(),
-         .query = query_number_},
-        now);
+    RelayTable::Choice choice =
+        ChooseFirstRelay(core(), service, query_number_, now);
     if (choice.relay) {
       DelegateToRelay(i, AttemptKind::kFirst, std::move(choice), now);
     } else if (!StartFirstAttempt(i, now)) {
       MarkFailed(shard, route().services[i]->WithheldUntil(now)
                             ? kCauseWithheld
-                            : std::string_view("no_replica_placeable"));
+                            : kCauseNotPlaceable);
     }
   }
   is_decision_deferred_ = false;
@@ -197,12 +165,9 @@
   const UpstreamPtr upstream = ChooseDirectUpstream(service, shard, kind, now);
   if (!upstream) return false;
   const std::string& data_centre = upstream->record().data_centre;
-  const RelayTable& relays = core().relay_table();
-  if (!upstream->is_local() && shard.declined_attempts < kMaxDeclinedAttempts &&
-      !relays.QueriesDirectly(service.usable_data_centres())) {
-    RelayLinkPtr relay = relays.FindRelay(
-        data_centre, {.group = service.relay_group(), .query = query_number_},
-        now);
+  if (shard.declined_attempts < kMaxDeclinedAttempts) {
+    RelayLinkPtr relay =
+        FindRelayBeside(core(), service, *upstream, query_number_, now);
     if (relay) {
       DelegateToRelay(index, kind,
                       {.relay = std::move(relay), .data_centre = data_centre},
@@ -400,15 +365,9 @@
 }
 
 void ScatterSession::RefuseByAdmission() {
-  // Spread over the interval, so that the callers do not return together.
-  constexpr std::uint64_t kSteps = 8;
-  const Duration retry_after =
-      kMinOverloadRetryAfter +
-      (kMaxOverloadRetryAfter - kMinOverloadRetryAfter) *
-          static_cast<std::int64_t>(query_number_ % kSteps) /
-          static_cast<std::int64_t>(kSteps);
-  Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
-         "overload");
+  Finish({.status = kStatusUnavailable,
+          .retry_after = OverloadRetryAfter(query_number_)},
+         "refused", kCauseOverload);
 }
 
 bool ScatterSession::IsOverloaded() const {
@@ -458,8 +417,8 @@
     RefuseWithdrawnKey();
     return;
   }
-  Finish({.status = kStatusUnavailable, .retry_after = kRefusalRetryAfter},
-         "refused", is_expired ? "deadline" : "too_few_shards");
+  Finish({.status = kStatusUnavailable, .retry_after = kQueryRetryAfter},
+         "refused", is_expired ? "deadline" : kCauseTooFewShards);
 }
 
 void ScatterSession::AbandonAttempts() {
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -77,8 +77,6 @@
     RelayAttemptRequest message;
   };
 
-  // Retry-After of a query refused because too few shards are available.
-  static constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(300);
   // A shard that refuses more attempts than this counts as overloaded.
   static constexpr std::int64_t kMaxRefusals = 3;
   // Attempts per shard that relays may decline before this daemon sends its
@@ -92,9 +90,6 @@
 
   // Starts the first attempt of every shard that has a usable replica.
   void StartShards();
-  // If what replicas say of themselves leaves too few shards for the minimum
-  // coverage at `now`, returns when it can be reached; empty otherwise.
-  std::optional<TimePoint> WithheldUntil(TimePoint now) const;
   // Refuses the query before anything was sent, because too few shards have
   // replicas that take requests before `until`.
   void RefuseWithheld(TimePoint until, TimePoint now);
--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -8,32 +8,10 @@
 
 namespace lacewingknot::edge {
 
-std::optional<TimePoint> ScatterSession::WithheldUntil(TimePoint now) const {
-  std::vector<TimePoint> openings;
-  for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (shards_[i].state != ShardState::kPending) continue;
-    if (const auto until = route().services[i]->WithheldUntil(now)) {
-      openings.push_back(*until);
-    }
-  }
-  std::size_t reachable = shards_.size() - failed_shards_ - openings.size();
-  const auto is_sufficient = [&] {
-    return HasSufficientCoverage(reachable, shards_.size(),
-                                 spec().min_coverage);
-  };
-  if (openings.empty() || is_sufficient()) return std::nullopt;
-  std::sort(openings.begin(), openings.end());
-  for (const TimePoint opening : openings) {
-    ++reachable;
-    if (is_sufficient()) return opening;
-  }
-  return openings.back();
-}
-
 void ScatterSession::RefuseWithheld(TimePoint until, TimePoint now) {
   core().metrics().OnWait("too_late");
   Finish({.status = kStatusUnavailable,
-          .retry_after = std::max<Duration>(until - now, kRefusalRetryAfter)},
+          .retry_after = WithheldRetryAfter(until, now)},
          "refused", kCauseWithheld);
 }
 
@@ -55,7 +33,7 @@
   shard.cause = kCauseWithheld;
   shard.waiting = service.waiting().Add(
       {.priority = priority(),
-       .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
+       .latest_start = LatestStartOfShard(route(), soft_deadline_),
        .start = [self,
                  index](TimePoint turn) { return self->OnTurn(index, turn); },
        .on_too_late =
@@ -83,7 +61,7 @@
   }
   if (route().services[index]->WithheldUntil(now)) return false;
   shard.waiting.reset();
-  MarkFailed(shard, "no_replica_placeable");
+  MarkFailed(shard, kCauseNotPlaceable);
   Decide(now);
   return true;
 }
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -88,28 +88,90 @@
   return PreferredUpstream() != nullptr;
 }
 
+class Service::ChoiceEffects {
+ public:
+  ChoiceEffects(Service& service, TimePoint now)
+      : service_(service), now_(now) {}
+
+  std::size_t NextRotation() { return service_.rotation_++; }
+  GateDecision CheckGate(Upstream& upstream) {
+    const GateDecision gate = upstream.CheckGate(now_);
+    if (gate != GateDecision::kOpen && service_.options_.on_withheld) {
+      service_.options_.on_withheld(gate);
+    }
+    return gate;
+  }
+  void OnCold(Upstream& upstream) { upstream.VerifyCold(now_); }
+  void OnPassedOver(const Upstream&, std::string_view) {}
+  void OnCandidate(const Upstream&) {}
+
+ private:
+  Service& service_;
+  TimePoint now_;
+};
+
+class Service::SimulatedEffects {
+ public:
+  SimulatedEffects(const Service& service, TimePoint now)
+      : rotation_(service.rotation_), now_(now) {}
+
+  std::size_t NextRotation() { return rotation_++; }
+  GateDecision CheckGate(const Upstream& upstream) {
+    // A copy draws the same lots as the gate would.
+    const auto gate = gates_.try_emplace(&upstream, upstream.gate()).first;
+    return gate->second.Check(now_);
+  }
+  void OnCold(const Upstream&) {}
+  void OnPassedOver(const Upstream& upstream, std::string_view reason) {
+    passed_over_[&upstream] = reason;
+  }
+  // A candidate of a later pass is none of the earlier ones' rejects.
+  void OnCandidate(const Upstream& upstream) { passed_over_.erase(&upstream); }
+
+  std::map<const Upstream*, std::string_view> TakePassedOver() {
+    return std::move(passed_over_);
+  }
+
+ private:
+  std::size_t rotation_;
+  TimePoint now_;
+  std::map<const Upstream*, UpstreamGate> gates_;
+  std::map<const Upstream*, std::string_view> passed_over_;
+};
+
+template <typename Effects>
 std::vector<UpstreamPtr> Service::Candidates(const ReplicaCriteria& criteria,
                                              std::size_t subset_size,
-                                             TimePoint now) {
+                                             TimePoint now,
+                                             Effects& effects) const {
   std::vector<UpstreamPtr> candidates;
   std::size_t usable_count = 0;
   for (const UpstreamPtr& upstream : upstreams_) {
     if (!upstream->is_usable()) continue;
-    if (++usable_count > subset_size) break;
+    if (++usable_count > subset_size) {
+      effects.OnPassedOver(*upstream, "outside_subset");
+      continue;
+    }
     if (!upstream->PassesColdRateLimit(cold_share_, now)) {
-      upstream->VerifyCold(now);
+      effects.OnCold(*upstream);
+      effects.OnPassedOver(*upstream, "cold_rate_limited");
+      continue;
+    }
+    if (criteria.local_only && !upstream->is_local()) {
+      effects.OnPassedOver(*upstream, "another_data_centre");
       continue;
     }
-    if (criteria.local_only && !upstream->is_local()) continue;
     if (std::find(criteria.tried.begin(), criteria.tried.end(), upstream) !=
         criteria.tried.end()) {
+      effects.OnPassedOver(*upstream, "tried");
       continue;
     }
-    const GateDecision gate = upstream->CheckGate(now);
+    const GateDecision gate = effects.CheckGate(*upstream);
     if (gate != GateDecision::kOpen) {
-      if (options_.on_withheld) options_.on_withheld(gate);
+      effects.OnPassedOver(*upstream, GateDecisionName(gate));
       continue;
     }
+    effects.OnCandidate(*upstream);
     candidates.push_back(upstream);
   }
   return candidates;
@@ -126,28 +188,56 @@
   return load;
 }
 
-UpstreamPtr Service::Choose(const ReplicaCriteria& criteria, TimePoint now) {
-  std::vector<UpstreamPtr> candidates = Candidates(criteria, subset_size_, now);
-  if (candidates.empty()) candidates = Candidates(criteria, SIZE_MAX, now);
+template <typename Effects>
+UpstreamPtr Service::Choose(const ReplicaCriteria& criteria, TimePoint now,
+                            Effects& effects) const {
+  std::vector<UpstreamPtr> candidates =
+      Candidates(criteria, subset_size_, now, effects);
+  if (candidates.empty()) {
+    candidates = Candidates(criteria, SIZE_MAX, now, effects);
+  }
   std::vector<ReplicaLoad> loads;
   loads.reserve(candidates.size());
   for (const UpstreamPtr& upstream : candidates) {
     loads.push_back(LoadOf(*upstream, criteria.mean_latency, now));
     if (criteria.include_backing_off) loads.back().is_backing_off = false;
   }
-  const auto chosen = ChooseReplica(loads, rotation_++, options_.choice);
+  const auto chosen =
+      ChooseReplica(loads, effects.NextRotation(), options_.choice);
   if (!chosen) return nullptr;
   const UpstreamPtr& upstream = candidates[*chosen];
-  if (upstream->IsCold(now)) upstream->VerifyCold(now);
+  if (upstream->IsCold(now)) effects.OnCold(*upstream);
   return upstream;
 }
 
+template <typename Effects>
 UpstreamPtr Service::ChooseForAttempt(AttemptKind kind,
-                                      ReplicaCriteria criteria, TimePoint now) {
-  UpstreamPtr upstream = Choose(criteria, now);
+                                      ReplicaCriteria criteria, TimePoint now,
+                                      Effects& effects) const {
+  UpstreamPtr upstream = Choose(criteria, now, effects);
   if (upstream || kind != AttemptKind::kFirst) return upstream;
   criteria.include_backing_off = true;
-  return Choose(criteria, now);
+  return Choose(criteria, now, effects);
+}
+
+UpstreamPtr Service::Choose(const ReplicaCriteria& criteria, TimePoint now) {
+  ChoiceEffects effects(*this, now);
+  return Choose(criteria, now, effects);
+}
+
+UpstreamPtr Service::ChooseForAttempt(AttemptKind kind,
+                                      const ReplicaCriteria& criteria,
+                                      TimePoint now) {
+  ChoiceEffects effects(*this, now);
+  return ChooseForAttempt(kind, criteria, now, effects);
+}
+
+Service::AttemptPreview Service::PreviewAttempt(AttemptKind kind,
+                                                const ReplicaCriteria& criteria,
+                                                TimePoint now) const {
+  SimulatedEffects effects(*this, now);
+  const UpstreamPtr chosen = ChooseForAttempt(kind, criteria, now, effects);
+  return {.chosen = chosen, .passed_over = effects.TakePassedOver()};
 }
 
 std::optional<TimePoint> Service::WithheldUntil(TimePoint now) const {
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -109,8 +109,21 @@
   const ReplicaChoiceOptions& choice() const { return options_.choice; }
   // Like Choose(), but a first attempt falls back to replicas that are backing
   // off if there is no other.
-  UpstreamPtr ChooseForAttempt(AttemptKind kind, ReplicaCriteria criteria,
-                               TimePoint now);
+  UpstreamPtr ChooseForAttempt(AttemptKind kind,
+                               const ReplicaCriteria& criteria, TimePoint now);
+
+  struct AttemptPreview {
+    UpstreamPtr chosen;  // Null if none fits.
+    // Usable replicas that are no candidates, each with the reason:
+    // cold_rate_limited, another_data_centre, tried, outside_subset, or the
+    // name of a GateDecision.
+    std::map<const Upstream*, std::string_view> passed_over;
+  };
+  // Returns what ChooseForAttempt() would return. Has none of its effects: the
+  // rotation stays, no lot is drawn, and no health check is sent.
+  AttemptPreview PreviewAttempt(AttemptKind kind,
+                                const ReplicaCriteria& criteria,
+                                TimePoint now) const;
 
   // If what the usable upstreams say of themselves keeps all of them from
   // attempts at `now`, returns when one of them takes an attempt again. Empty
@@ -118,9 +131,15 @@
   std::optional<TimePoint> WithheldUntil(TimePoint now) const;
   // Requests that wait while WithheldUntil() is not empty.
   WaitingRequests& waiting() { return waiting_; }
+  const WaitingRequests& waiting() const { return waiting_; }
   // Lets waiting requests start whose turn it is; returns whether others wait
   // that a new one must not overtake.
   bool HasWaitingAhead(TimePoint now);
+  // Returns what HasWaitingAhead() would return if all waiting requests whose
+  // turn has come could start together.
+  bool WouldWaitBehindOthers(TimePoint now) const {
+    return !waiting_.empty() && WithheldUntil(now);
+  }
   // Counts a request for this service, as demand for each of its upstreams.
   void CountDemand();
 
@@ -150,10 +169,22 @@
   Duration mean_latency() const { return mean_latency_; }
 
  private:
+  // Effects of a choice, or their simulation.
+  class ChoiceEffects;
+  class SimulatedEffects;
+
   // Returns those of the first `subset_size` usable upstreams that `criteria`
   // and the limits of cold upstreams allow.
+  template <typename Effects>
   std::vector<UpstreamPtr> Candidates(const ReplicaCriteria& criteria,
-                                      std::size_t subset_size, TimePoint now);
+                                      std::size_t subset_size, TimePoint now,
+                                      Effects& effects) const;
+  template <typename Effects>
+  UpstreamPtr Choose(const ReplicaCriteria& criteria, TimePoint now,
+                     Effects& effects) const;
+  template <typename Effects>
+  UpstreamPtr ChooseForAttempt(AttemptKind kind, ReplicaCriteria criteria,
+                               TimePoint now, Effects& effects) const;
   // Attempts per second that usable upstreams which take one at `time` take.
   double PassRate(TimePoint time) const;
 
--- a/lacewingknot/edge/team_quotas.cc
+++ b/lacewingknot/edge/team_quotas.cc
@@ -91,22 +91,42 @@
   Advance();
 }
 
+TeamQuotas::Preview TeamQuotas::PreviewAcquire(std::string_view team,
+                                               TimePoint now) const {
+  // Copies decide as the originals would.
+  TeamQuotaClient client = client_;
+  Preview preview{.held_tokens = client.HeldTokens(team, now)};
+  const Ticket ticket = last_ticket_ + 1;
+  preview.outcome = client.Acquire(team, ticket, now, now);
+  if (preview.outcome.kind != Kind::kWaits || options_.send) return preview;
+  TeamQuotaKeeper keeper = own_keeper_;
+  Exchange(options_.self, client, keeper, now);
+  for (const auto& outcome : client.TakeOutcomes()) {
+    if (outcome.request == ticket) preview.outcome = outcome;
+  }
+  return preview;
+}
+
+void TeamQuotas::Exchange(const std::string& self, TeamQuotaClient& client,
+                          TeamQuotaKeeper& keeper, TimePoint now) {
+  for (auto messages = client.TakeMessages(); !messages.empty();
+       messages = client.TakeMessages()) {
+    for (const OutgoingQuotaMessage& ask : messages) {
+      for (const auto& answer : keeper.OnMessage(self, ask.message, now)) {
+        client.OnMessage(self, answer.message, now);
+      }
+    }
+  }
+}
+
 void TeamQuotas::Advance() {
   const TimePoint now = BootClock::now();
   client_.Tick(now);
-  auto messages = client_.TakeMessages();
   if (options_.send) {
+    auto messages = client_.TakeMessages();
     if (!messages.empty()) options_.send(std::move(messages));
   } else {
-    while (!messages.empty()) {
-      for (const OutgoingQuotaMessage& ask : messages) {
-        for (const auto& answer :
-             own_keeper_.OnMessage(options_.self, ask.message, now)) {
-          client_.OnMessage(options_.self, answer.message, now);
-        }
-      }
-      messages = client_.TakeMessages();
-    }
+    Exchange(options_.self, client_, own_keeper_, now);
   }
   options_.timers->Cancel(timer_);
   if (const auto next = client_.NextTick()) {
--- a/lacewingknot/edge/team_quotas.h
+++ b/lacewingknot/edge/team_quotas.h
@@ -66,6 +66,12 @@
   // must be asked, at `latest` or earlier. Returns a ticket if it waits.
   std::optional<Ticket> Acquire(std::string_view team, TimePoint latest,
                                 Callback callback);
+  struct Preview {
+    TeamQuotaClient::Outcome outcome;  // kWaits: a keeper must be asked.
+    std::uint32_t held_tokens = 0;
+  };
+  // Returns what Acquire() would decide now, without any of its effects.
+  Preview PreviewAcquire(std::string_view team, TimePoint now) const;
   // Drops a waiting request without a call of its callback.
   void Abandon(std::string_view team, Ticket ticket);
   // Returns the token of a request that was not sent.
@@ -87,6 +93,9 @@
   // Least time between two log lines about a team.
   static constexpr Duration kLogInterval = std::chrono::seconds(1);
 
+  // Passes the messages of `client` to `keeper`, and back, until none is left.
+  static void Exchange(const std::string& self, TeamQuotaClient& client,
+                       TeamQuotaKeeper& keeper, TimePoint now);
   // Sends messages, calls back and plans the next tick.
   void Advance();
   void Decide(const std::string& team, const TeamQuotaClient::Outcome& outcome,
