lacewingknotctl explain-request: where a request would go now, and why

Cause: a complaint about 401, 429 or 503 took a search through the logs. Change: the daemon's control address answers /explain-request from the decisions of the request path; the command prints it as text or JSON. The key is read from a file or standard input and travels in the Authorization header.

--- a/lacewingknot/ctl/internal/command_helpers.cc
+++ b/lacewingknot/ctl/internal/command_helpers.cc
@@ -28,10 +28,11 @@
 Result<ClientReply> SendRequest(const std::string& daemon,
                                 const std::string& method,
                                 const std::string& target,
-                                const std::string& body, Output& output) {
+                                const std::string& body, Output& output,
+                                const HttpClient::Headers& headers) {
   try {
-    Result<ClientReply> reply =
-        HttpClient(daemon, kRequestTimeout).SendAndWait(method, target, body);
+    Result<ClientReply> reply = HttpClient(daemon, kRequestTimeout)
+                                    .SendAndWait(method, target, body, headers);
     if (!reply) {
       output.err << "lacewingknotctl: " << daemon << ": "
                  << reply.error().detail << "\n";
--- a/lacewingknot/ctl/internal/command_helpers.h
+++ b/lacewingknot/ctl/internal/command_helpers.h
@@ -23,7 +23,8 @@
 Result<ClientReply> SendRequest(const std::string& daemon,
                                 const std::string& method,
                                 const std::string& target,
-                                const std::string& body, Output& output);
+                                const std::string& body, Output& output,
+                                const HttpClient::Headers& headers = {});
 
 // Prints each fault with file, line, key and what is accepted, as text to
 // `output.err` or as JSON to `output.out`.
--- a/lacewingknot/ctl/main.cc
+++ b/lacewingknot/ctl/main.cc
@@ -9,6 +9,7 @@
 
 #include "lacewingknot/ctl/commands.h"
 #include "lacewingknot/ctl/edge_commands.h"
+#include "lacewingknot/ctl/explain_request.h"
 
 namespace {
 
@@ -22,6 +23,9 @@
     "  mechanisms          the mechanisms that settings can switch off\n"
     "  status              state of a daemon\n"
     "  explain SERVICE     which upstreams a query would use now, and why\n"
+    "  explain-request     where a request to an edge daemon would go now, "
+    "and\n"
+    "                      why: --host, --path, --key-file; sends no request\n"
     "  query SERVICE       send one query\n"
     "  write SERVICE       send one non-idempotent request\n"
     "check, status and explain take --edge for daemons in the edge role;\n"
@@ -35,6 +39,7 @@
   std::string daemon;
   std::string file;
   RequestOptions request;
+  lacewingknot::ctl::ExplainRequestOptions explained;
   bool json = false;
   bool edge = false;
 };
@@ -57,6 +62,13 @@
                                   "ID", command);
   TCLAP::ValueArg<int> deadline("", "deadline-ms", "Deadline of the request",
                                 false, 0, "MS", command);
+  TCLAP::ValueArg<std::string> host("", "host", "Host of the explained request",
+                                    false, "", "HOST", command);
+  TCLAP::ValueArg<std::string> path("p", "path", "Its path", false, "/", "PATH",
+                                    command);
+  TCLAP::ValueArg<std::string> key_file(
+      "k", "key-file", "File that holds its team's key; - for standard input",
+      false, "", "FILE", command);
   TCLAP::SwitchArg json("j", "json", "Print JSON", command);
   TCLAP::SwitchArg edge("e", "edge", "The daemon is in the edge role", command);
   command.parse(argc, argv);
@@ -68,6 +80,9 @@
                       .text = text.getValue(),
                       .id = id.getValue(),
                       .deadline_ms = deadline.getValue()},
+          .explained = {.host = host.getValue(),
+                        .path = path.getValue(),
+                        .key_file = key_file.getValue()},
           .json = json.getValue(),
           .edge = edge.getValue()};
 }
@@ -117,6 +132,9 @@
 int Run(const Arguments& arguments) {
   namespace ctl = lacewingknot::ctl;
   const Output output{std::cout, std::cerr, arguments.json};
+  if (arguments.command == "explain-request") {
+    return ctl::ExplainRequest(arguments.daemon, arguments.explained, output);
+  }
   const Commands commands = arguments.edge ? EdgeCommands(arguments, output)
                                            : QueryCommands(arguments, output);
   const auto command = commands.find(arguments.command);
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -274,9 +274,7 @@
                                   std::shared_ptr<const BoundTable> routes,
                                   const BoundRoute& route,
                                   const TeamTable::Match& team) {
-  TeamQuotas* quotas = options_.core->team_quotas();
-  if (quotas == nullptr || team.team == nullptr ||
-      team.team->rate_per_second <= 0) {
+  if (!NeedsQuotaToken(*options_.core, team.team)) {
     StartRequest(std::move(request), std::move(routes), route, team, false);
     return;
   }
@@ -304,8 +302,8 @@
     self->OnAnswer({.status = kStatusTooManyRequests,
                     .retry_after = decision.retry_after});
   };
-  const auto ticket =
-      quotas->Acquire(name, request_read_at_ + patience, on_decision);
+  const auto ticket = options_.core->team_quotas()->Acquire(
+      name, request_read_at_ + patience, on_decision);
   if (ticket) quota_wait_.emplace(name, *ticket);
 }
 
@@ -323,13 +321,12 @@
     options_.core->metrics().OnUnauthorized(decision.cause);
     answer.headers = kChallengeHeader;
   } else {
-    LogEvent(
-        Event::kRequestRejected,
-        {{"id", request.request_id},
-         {"status", decision.status},
-         {"cause", decision.cause},
-         {"config",
-          routes == nullptr ? std::uint64_t{0} : routes->table->version()}});
+    LogEvent(Event::kRequestRejected,
+             {{"id", request.request_id},
+              {"status", decision.status},
+              {"cause", decision.cause},
+              {"config", routes == nullptr ? std::uint64_t{0}
+                                           : routes->table->version()}});
   }
   OnAnswer(answer);
 }
--- a/lacewingknot/edge/control_server.cc
+++ b/lacewingknot/edge/control_server.cc
@@ -33,9 +33,15 @@
   static constexpr std::chrono::seconds kIdleTimeout{30};
 
   void SendReply() {
+    std::vector<std::string> credentials;
+    const auto [begin, end] = request_.equal_range(http::field::authorization);
+    for (auto field = begin; field != end; ++field) {
+      credentials.emplace_back(field->value().data(), field->value().size());
+    }
     const ControlReply reply = server_.Reply(
         {request_.method_string().data(), request_.method_string().size()},
-        {request_.target().data(), request_.target().size()});
+        {request_.target().data(), request_.target().size()},
+        std::move(credentials));
     response_ = {};
     response_.version(request_.version());
     response_.result(reply.status);
@@ -60,6 +66,14 @@
 };
 
 void ControlServer::Handle(std::string path, ControlHandler handler) {
+  HandleRequest(std::move(path),
+                [handler = std::move(handler)](const ControlRequest& request) {
+                  return handler(request.query);
+                });
+}
+
+void ControlServer::HandleRequest(std::string path,
+                                  ControlRequestHandler handler) {
   handlers_.insert_or_assign(std::move(path), std::move(handler));
 }
 
@@ -83,16 +97,18 @@
 }
 
 ControlReply ControlServer::Reply(std::string_view method,
-                                  std::string_view target) const {
+                                  std::string_view target,
+                                  std::vector<std::string> credentials) const {
   if (method != "GET") return {.status = 405, .body = "only GET\n"};
   const auto question = target.find('?');
   const auto found = handlers_.find(target.substr(0, question));
   if (found == handlers_.end()) {
     return {.status = 404, .body = "no such path\n"};
   }
-  return found->second(question == std::string_view::npos
-                           ? std::string_view()
-                           : target.substr(question + 1));
+  return found->second({.query = question == std::string_view::npos
+                                     ? std::string_view()
+                                     : target.substr(question + 1),
+                        .credentials = std::move(credentials)});
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/control_server.h
+++ b/lacewingknot/edge/control_server.h
@@ -37,6 +37,14 @@
 
 // Receives the query string of the request without the question mark.
 using ControlHandler = std::function<ControlReply(std::string_view query)>;
+struct ControlRequest {
+  std::string_view query;  // As of ControlHandler.
+  // Values of the Authorization headers. They may hold a key of a team: they
+  // are neither logged nor repeated in replies.
+  std::vector<std::string> credentials;
+};
+using ControlRequestHandler =
+    std::function<ControlReply(const ControlRequest& request)>;
 
 class ControlServer {
  public:
@@ -44,6 +52,7 @@
 
   // Registers the handler of `path`, replacing an earlier one.
   void Handle(std::string path, ControlHandler handler);
+  void HandleRequest(std::string path, ControlRequestHandler handler);
 
   // Starts accepting connections on `address`, IP:PORT. May be called for
   // several addresses. Returns an error if it cannot listen there.
@@ -53,10 +62,11 @@
   class Session;
 
   void Accept(boost::asio::ip::tcp::acceptor& acceptor);
-  ControlReply Reply(std::string_view method, std::string_view target) const;
+  ControlReply Reply(std::string_view method, std::string_view target,
+                     std::vector<std::string> credentials) const;
 
   boost::asio::io_context& io_;
-  std::map<std::string, ControlHandler, std::less<>> handlers_;
+  std::map<std::string, ControlRequestHandler, std::less<>> handlers_;
   std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
 };
 
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -1,7 +1,9 @@
 #include "lacewingknot/edge/edge_daemon.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <cctype>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -11,6 +13,7 @@
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/edge/explanation.h"
+#include "lacewingknot/edge/request_explanation.h"
 
 namespace lacewingknot::edge {
 
@@ -22,6 +25,51 @@
 // balancer's readiness checks, once a second.
 constexpr std::chrono::milliseconds kExplainTimeout{250};
 
+ControlReply TrafficThreadSlow() {
+  return {.status = 503, .body = "traffic thread did not respond in time\n"};
+}
+
+// Returns the value of a hexadecimal digit; empty if `digit` is none.
+std::optional<int> HexValue(char digit) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const char lower =
+      static_cast<char>(std::tolower(static_cast<unsigned char>(digit)));
+  const std::size_t value = kDigits.find(lower);
+  if (value == std::string_view::npos) return std::nullopt;
+  return static_cast<int>(value);
+}
+
+// Returns the decoded value of the parameter `name` in `query`, NAME=VALUE
+// pairs separated by '&'; empty if it is missing, empty or malformed.
+std::optional<std::string> QueryParameter(std::string_view query,
+                                          std::string_view name) {
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(pair.size() + 1, query.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || pair.substr(0, equals) != name) {
+      continue;
+    }
+    const std::string_view encoded = pair.substr(equals + 1);
+    std::string value;
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+      if (encoded[i] != '%') {
+        value += encoded[i];
+        continue;
+      }
+      if (i + 2 >= encoded.size()) return std::nullopt;
+      const auto high = HexValue(encoded[i + 1]);
+      const auto low = HexValue(encoded[i + 2]);
+      if (!high || !low) return std::nullopt;
+      value += static_cast<char>(*high * 16 + *low);
+      i += 2;
+    }
+    if (value.empty()) return std::nullopt;
+    return value;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 EdgeDaemon::EdgeDaemon(Options options)
@@ -76,6 +124,10 @@
     }
     return Explain(query.substr(kParameter.size()));
   });
+  control_.HandleRequest("/explain-request",
+                         [this](const ControlRequest& request) {
+                           return ExplainRequestOf(request);
+                         });
   const EdgeSettings& settings = options_.settings;
   for (const std::string& address :
        {settings.readiness_listen, settings.control_listen,
@@ -360,20 +412,47 @@
   return status.dump() + "\n";
 }
 
-ControlReply EdgeDaemon::Explain(std::string_view service) {
-  // The traffic thread computes the explanation. It shares the promise, which
-  // outlives this call if that thread is slow.
-  const auto promise =
-      std::make_shared<std::promise<std::optional<ServiceExplanation>>>();
+template <typename Explanation>
+std::optional<Explanation> EdgeDaemon::ExplainOnTrafficThread(
+    std::function<Explanation()> explain) {
+  // The traffic thread shares the promise, which outlives this call if that
+  // thread is slow.
+  const auto promise = std::make_shared<std::promise<Explanation>>();
   auto answer = promise->get_future();
-  RunOnTrafficThread([this, promise, name = std::string(service)] {
-    promise->set_value(ExplainService(core_, name, BootClock::now()));
+  RunOnTrafficThread([promise, explain = std::move(explain)] {
+    promise->set_value(explain());
   });
   if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
-    return {.status = 503, .body = "traffic thread did not respond in time\n"};
+    return std::nullopt;
+  }
+  return answer.get();
+}
+
+ControlReply EdgeDaemon::Explain(std::string_view service) {
+  const auto explanation =
+      ExplainOnTrafficThread<std::optional<ServiceExplanation>>(
+          [this, name = std::string(service)] {
+            return ExplainService(core_, name, BootClock::now());
+          });
+  if (!explanation) return TrafficThreadSlow();
+  if (!*explanation) return {.status = 404, .body = "unknown service\n"};
+  return {.content_type = "application/json", .body = ToJson(**explanation)};
+}
+
+ControlReply EdgeDaemon::ExplainRequestOf(const ControlRequest& request) {
+  const auto host = QueryParameter(request.query, "host");
+  const auto path = QueryParameter(request.query, "path");
+  if (!host || !path) {
+    return {.status = 400,
+            .body = "missing query parameter: ?host=HOST&path=PATH\n"};
   }
-  const auto explanation = answer.get();
-  if (!explanation) return {.status = 404, .body = "unknown service\n"};
+  const auto explanation = ExplainOnTrafficThread<RequestExplanation>(
+      [this, asked = RequestToExplain{.host = *host,
+                                      .target = *path,
+                                      .credentials = request.credentials}] {
+        return ExplainRequest(core_, asked, BootClock::now());
+      });
+  if (!explanation) return TrafficThreadSlow();
   return {.content_type = "application/json", .body = ToJson(*explanation)};
 }
 
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -96,6 +96,12 @@
   void UpdateReadiness();
   std::string Status() const;
   ControlReply Explain(std::string_view service);
+  ControlReply ExplainRequestOf(const ControlRequest& request);
+  // Runs `explain` on the traffic thread; empty if that does not respond in
+  // time.
+  template <typename Explanation>
+  std::optional<Explanation> ExplainOnTrafficThread(
+      std::function<Explanation()> explain);
   void RunOnTrafficThread(std::function<void()> run);
 
   Options options_;
--- a/lacewingknot/edge/explanation.cc
+++ b/lacewingknot/edge/explanation.cc
@@ -40,6 +40,8 @@
   return "good";
 }
 
+}  // namespace
+
 UpstreamExplanation ExplainUpstream(const Upstream& upstream,
                                     Duration mean_latency, TimePoint now) {
   const ReplicaLoad load = upstream.CurrentLoad(mean_latency, now);
@@ -63,8 +65,6 @@
                          : std::nullopt};
 }
 
-}  // namespace
-
 std::optional<ServiceExplanation> ExplainService(const EdgeCore& core,
                                                  std::string_view service,
                                                  TimePoint now) {
--- a/lacewingknot/edge/explanation.h
+++ b/lacewingknot/edge/explanation.h
@@ -48,6 +48,10 @@
   std::vector<UpstreamExplanation> upstreams;  // Preferred ones first.
 };
 
+// Explains `upstream`; `mean_latency` is that of a request to its service.
+UpstreamExplanation ExplainUpstream(const Upstream& upstream,
+                                    Duration mean_latency, TimePoint now);
+
 // Returns an empty optional if no configuration or upstream names `service`.
 std::optional<ServiceExplanation> ExplainService(const EdgeCore& core,
                                                  std::string_view service,
--- a/lacewingknot/edge/request_decisions.cc
+++ b/lacewingknot/edge/request_decisions.cc
@@ -77,6 +77,11 @@
   return decision;
 }
 
+bool NeedsQuotaToken(const EdgeCore& core, const Team* team) {
+  return core.team_quotas() != nullptr && team != nullptr &&
+         team->rate_per_second > 0;
+}
+
 std::int64_t PriorityOf(const RouteSpec& spec, const Team* team) {
   return team == nullptr ? spec.priority
                          : team->priority.value_or(spec.priority);
@@ -85,7 +90,8 @@
 TimePoint AnswerDeadline(const EdgeCore& core, const RouteSpec& spec,
                          std::optional<Duration> time_left,
                          TimePoint started_at) {
-  const Duration time = std::min(spec.timeout, time_left.value_or(spec.timeout));
+  const Duration time =
+      std::min(spec.timeout, time_left.value_or(spec.timeout));
   return std::min(started_at + std::max(time - kAnswerDeadlineMargin, time / 2),
                   core.final_deadline());
 }
--- a/lacewingknot/edge/request_decisions.h
+++ b/lacewingknot/edge/request_decisions.h
@@ -62,6 +62,9 @@
                             const std::vector<std::string>& credentials,
                             TimePoint now);
 
+// Whether a request of `team`, which may be null, needs a token of its quota.
+bool NeedsQuotaToken(const EdgeCore& core, const Team* team);
+
 // The team's priority, or else the route's. `team` may be null.
 std::int64_t PriorityOf(const RouteSpec& spec, const Team* team);
 
--- a/lacewingknot/http/client.cc
+++ b/lacewingknot/http/client.cc
@@ -25,7 +25,7 @@
 
   pplx::task<ClientReply> Send(const std::string& method,
                                const std::string& target,
-                               const std::string& body);
+                               const std::string& body, const Headers& headers);
 
  private:
   std::unique_ptr<http_client> client_;
@@ -33,9 +33,11 @@
 
 pplx::task<ClientReply> HttpClient::Impl::Send(const std::string& method,
                                                const std::string& target,
-                                               const std::string& body) {
+                                               const std::string& body,
+                                               const Headers& headers) {
   web::http::http_request request(method);
   request.set_request_uri(target);
+  for (const auto& [name, value] : headers) request.headers().add(name, value);
   if (!body.empty()) request.set_body(body, "application/json");
   return client_->request(request).then([](const http_response& response) {
     return response.extract_utf8string(true).then(
@@ -61,8 +63,9 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(const std::string& method, const std::string& target,
-                      const std::string& body, ReplyCallback on_reply) {
-  impl_->Send(method, target, body)
+                      const std::string& body, ReplyCallback on_reply,
+                      const Headers& headers) {
+  impl_->Send(method, target, body, headers)
       .then([on_reply =
                  std::move(on_reply)](const pplx::task<ClientReply>& reply) {
         try {
@@ -75,11 +78,15 @@
 
 Result<ClientReply> HttpClient::SendAndWait(const std::string& method,
                                             const std::string& target,
-                                            const std::string& body) {
+                                            const std::string& body,
+                                            const Headers& headers) {
   std::promise<Result<ClientReply>> reply;
-  Send(method, target, body, [&reply](Result<ClientReply> result) {
-    reply.set_value(std::move(result));
-  });
+  Send(
+      method, target, body,
+      [&reply](Result<ClientReply> result) {
+        reply.set_value(std::move(result));
+      },
+      headers);
   return reply.get_future().get();
 }
 
--- a/lacewingknot/http/client.h
+++ b/lacewingknot/http/client.h
@@ -38,17 +38,20 @@
   ~HttpClient();
 
   using ReplyCallback = std::function<void(Result<ClientReply>)>;
+  using Headers = std::map<std::string, std::string>;
 
   // Sends a request and calls `on_reply` with the reply, whatever its status,
   // or with kPlatformUnavailable if there is none. A `body` that is not empty
   // is sent as JSON.
   void Send(const std::string& method, const std::string& target,
-            const std::string& body, ReplyCallback on_reply);
+            const std::string& body, ReplyCallback on_reply,
+            const Headers& headers = {});
 
   // Like Send, but blocks until the reply or the failure.
   Result<ClientReply> SendAndWait(const std::string& method,
                                   const std::string& target,
-                                  const std::string& body);
+                                  const std::string& body,
+                                  const Headers& headers = {});
 
  private:
   class Impl;
