--- a/lacewingknot/ctl/explain_request.cc
+++ b/lacewingknot/ctl/explain_request.cc
@@ -25,7 +25,8 @@
                      [](char c) { return c >= ' ' && c <= '~'; });
 }
 
-// Reads the key from the first line of `file`. The error does not hold the key.
+// Reads the key from the first line of `file`. The error does not name `file`,
+// which is the key itself if an operator mistakes the option.
 Result<std::string> ReadKey(const std::string& file) {
   std::ifstream opened;
   if (file != "-") opened.open(file);
@@ -33,12 +34,12 @@
   std::string key;
   if (!std::getline(stream, key)) {
     return Error{ErrorType::kInvalidRequest,
-                 file + ": cannot be read or is empty"};
+                 "--key-file: cannot be read or is empty"};
   }
   if (key.ends_with('\r')) key.pop_back();
   if (key.empty() || !IsPrintable(key)) {
     return Error{ErrorType::kInvalidRequest,
-                 file + ": the first line is no key"};
+                 "--key-file: the first line is no key"};
   }
   return key;
 }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -74,8 +74,8 @@
   core().metrics().OnWait("waits");
   const auto self =
       std::static_pointer_cast<ScatterSession>(shared_from_this());
-  start_timer_ =
-      core().timers().At(*start.withheld_until, [self] { self->StartShards(); });
+  start_timer_ = core().timers().At(*start.withheld_until,
+                                    [self] { self->StartShards(); });
 }
 
 void ScatterSession::StartShards() {
