--- a/lacewingknot/edge/control_server.cc
+++ b/lacewingknot/edge/control_server.cc
@@ -1,7 +1,9 @@
 #include "lacewingknot/edge/control_server.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <chrono>
 #include <utility>
 
@@ -13,6 +15,49 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+// Returns the value of a hexadecimal digit; empty if `digit` is none.
+std::optional<int> HexValue(char digit) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const char lower =
+      static_cast<char>(std::tolower(static_cast<unsigned char>(digit)));
+  const std::size_t value = kDigits.find(lower);
+  if (value == std::string_view::npos) return std::nullopt;
+  return static_cast<int>(value);
+}
+
+}  // namespace
+
+std::optional<std::string> QueryParameter(std::string_view query,
+                                          std::string_view name) {
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(pair.size() + 1, query.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || pair.substr(0, equals) != name) {
+      continue;
+    }
+    const std::string_view encoded = pair.substr(equals + 1);
+    std::string value;
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+      if (encoded[i] != '%') {
+        value += encoded[i];
+        continue;
+      }
+      if (i + 2 >= encoded.size()) return std::nullopt;
+      const auto high = HexValue(encoded[i + 1]);
+      const auto low = HexValue(encoded[i + 2]);
+      if (!high || !low) return std::nullopt;
+      value += static_cast<char>(*high * 16 + *low);
+      i += 2;
+    }
+    if (value.empty()) return std::nullopt;
+    return value;
+  }
+  return std::nullopt;
+}
+
 // One connection, kept alive by its pending operation.
 class ControlServer::Session : public std::enable_shared_from_this<Session> {
  public:
--- a/lacewingknot/edge/control_server.h
+++ b/lacewingknot/edge/control_server.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,11 @@
 using ControlRequestHandler =
     std::function<ControlReply(const ControlRequest& request)>;
 
+// Returns the decoded value of the parameter `name` in `query`, NAME=VALUE
+// pairs separated by '&'; empty if it is missing, empty or malformed.
+std::optional<std::string> QueryParameter(std::string_view query,
+                                          std::string_view name);
+
 class ControlServer {
  public:
   explicit ControlServer(boost::asio::io_context& io) : io_(io) {}
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -1,9 +1,7 @@
 #include "lacewingknot/edge/edge_daemon.h"
 
-#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <cctype>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -29,47 +27,6 @@
   return {.status = 503, .body = "traffic thread did not respond in time\n"};
 }
 
-// Returns the value of a hexadecimal digit; empty if `digit` is none.
-std::optional<int> HexValue(char digit) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const char lower =
-      static_cast<char>(std::tolower(static_cast<unsigned char>(digit)));
-  const std::size_t value = kDigits.find(lower);
-  if (value == std::string_view::npos) return std::nullopt;
-  return static_cast<int>(value);
-}
-
-// Returns the decoded value of the parameter `name` in `query`, NAME=VALUE
-// pairs separated by '&'; empty if it is missing, empty or malformed.
-std::optional<std::string> QueryParameter(std::string_view query,
-                                          std::string_view name) {
-  while (!query.empty()) {
-    const std::string_view pair = query.substr(0, query.find('&'));
-    query.remove_prefix(std::min(pair.size() + 1, query.size()));
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos || pair.substr(0, equals) != name) {
-      continue;
-    }
-    const std::string_view encoded = pair.substr(equals + 1);
-    std::string value;
-    for (std::size_t i = 0; i < encoded.size(); ++i) {
-      if (encoded[i] != '%') {
-        value += encoded[i];
-        continue;
-      }
-      if (i + 2 >= encoded.size()) return std::nullopt;
-      const auto high = HexValue(encoded[i + 1]);
-      const auto low = HexValue(encoded[i + 2]);
-      if (!high || !low) return std::nullopt;
-      value += static_cast<char>(*high * 16 + *low);
-      i += 2;
-    }
-    if (value.empty()) return std::nullopt;
-    return value;
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 EdgeDaemon::EdgeDaemon(Options options)
--- a/lacewingknot/edge/relay_session_test.cc
+++ b/lacewingknot/edge/relay_session_test.cc
@@ -4,6 +4,7 @@
 #include "lacewingknot/edge/relay_session.h"
 
 #include "lacewingknot/edge/relay_server.h"
+#include "lacewingknot/edge/request_explanation.h"
 #include "testing/edge_fixture.h"
 #include "testing/fault_proxy.h"
 
@@ -96,6 +97,23 @@
   EXPECT_FALSE(HasMadeAttempts(metrics_));
 }
 
+// Guards against an explanation that names replicas where a relay chooses them.
+TEST_F(RelaySessionTest, Query_RelayUsable_ExplanationNamesRelay) {
+  AddUpstream("a", RepliesWith(MakeRecord('k')));
+  AddUpstream("b", RepliesWith(MakeRecord('z')));
+  ApplyRoutes({Route()});
+  UseRelay();
+  const RequestExplanation explanation = ExplainRequest(
+      core_, {.host = "h.example", .target = "/s/1"}, BootClock::now());
+  EXPECT_EQ(explanation.verdict.outcome, "sent");
+  EXPECT_EQ(explanation.shards->relay, 2U);
+  for (const PlacementExplanation& placement : explanation.placements) {
+    EXPECT_EQ(placement.relay, Relay()->address());
+    EXPECT_EQ(placement.chosen, "");
+    EXPECT_EQ(placement.replicas.size(), 1U);
+  }
+}
+
 // Guards against keys, or names that clients chose, in what relays send on.
 TEST_F(RelaySessionTest, Query_OfTeam_RelaySendsTeamAndNoKey) {
   auto& upstream = AddUpstream("a", RepliesWith(MakeRecord('k')));
--- a/lacewingknot/edge/request_explanation_test.cc
+++ b/lacewingknot/edge/request_explanation_test.cc
@@ -148,6 +148,39 @@
             std::string::npos);
 }
 
+// Guards against a wait, or a Retry-After, other than those of the request.
+TEST_F(RequestExplanationTest, Upstream_StatesWait_WaitsOrIsRefused) {
+  AddUpstream("a", [](const testing::FakeRequest&,
+                      const std::shared_ptr<testing::FakeConnection>& at) {
+    at->Reply({.status = 503,
+               .headers = {{"X-Not-Run", "1"}, {"Retry-After", "0.3"}}});
+  });
+  AddTeam();
+  RouteSpec route = PassRoute("a", RetryPolicy::kIdempotent);
+  route.timeout = std::chrono::milliseconds(100);
+  RouteSpec patient = route;
+  patient.name = "patient";
+  patient.prefix = "/patient/";
+  patient.timeout = std::chrono::seconds(2);
+  ApplyRoutes({route, patient});
+  EXPECT_TRUE(Send("/p/1").starts_with("HTTP/1.1 503"));
+  RequestExplanation explanation = Explain("/patient/1", kKey);
+  EXPECT_EQ(explanation.verdict.outcome, "waits");
+  EXPECT_GT(explanation.verdict.starts_in_ms.value_or(0), 0);
+  EXPECT_LE(explanation.verdict.starts_in_ms.value_or(0), 300);
+  explanation = Explain("/p/1", kKey);
+  EXPECT_EQ(explanation.verdict.status, kStatusUnavailable);
+  EXPECT_EQ(explanation.verdict.cause, "withheld");
+  EXPECT_EQ(explanation.placements.front().replicas.front().passed_over,
+            "waiting");
+  const std::string text = Send("/p/1");
+  const auto header = text.find("Retry-After: ");
+  ASSERT_NE(header, std::string::npos);
+  EXPECT_NEAR(
+      std::stod(text.substr(header + 13)) * 1'000,
+      static_cast<double>(explanation.verdict.retry_after_ms.value_or(0)), 60);
+}
+
 // Guards against an explanation whose size grows with the fleet.
 TEST_F(RequestExplanationTest, Lists_Long_AreBounded) {
   std::vector<std::string> shards;
