Choice of a replica stops at the end of the subset again

Cause: requests went on through all upstreams of a service only to report those outside the subset, which just explanations need.

--- a/lacewingknot/edge/request_explanation_test.cc
+++ b/lacewingknot/edge/request_explanation_test.cc
@@ -184,6 +184,7 @@
 // Guards against an explanation whose size grows with the fleet.
 TEST_F(RequestExplanationTest, Lists_Long_AreBounded) {
   std::vector<std::string> shards;
+  shards.reserve(12);
   for (int i = 0; i < 12; ++i) shards.push_back("s" + std::to_string(i));
   for (const std::string& shard : shards) {
     if (shard != "s11") AddUpstream(shard, RepliesWith(MakeRecord('k')));
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -90,6 +90,8 @@
 
 class Service::ChoiceEffects {
  public:
+  static constexpr bool kReportsPassedOver = false;
+
   ChoiceEffects(Service& service, TimePoint now)
       : service_(service), now_(now) {}
 
@@ -112,6 +114,8 @@
 
 class Service::SimulatedEffects {
  public:
+  static constexpr bool kReportsPassedOver = true;
+
   SimulatedEffects(const Service& service, TimePoint now)
       : rotation_(service.rotation_), now_(now) {}
 
@@ -149,6 +153,7 @@
   for (const UpstreamPtr& upstream : upstreams_) {
     if (!upstream->is_usable()) continue;
     if (++usable_count > subset_size) {
+      if (!Effects::kReportsPassedOver) break;
       effects.OnPassedOver(*upstream, "outside_subset");
       continue;
     }
