--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -11,6 +11,7 @@
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/edge/explanation.h"
+#include "lacewingknot/edge/request_explanation.h"
 
 namespace lacewingknot::edge {
 
@@ -22,6 +23,10 @@
 // balancer's readiness checks, once a second.
 constexpr std::chrono::milliseconds kExplainTimeout{250};
 
+ControlReply TrafficThreadSlow() {
+  return {.status = 503, .body = "traffic thread did not respond in time\n"};
+}
+
 }  // namespace
 
 EdgeDaemon::EdgeDaemon(Options options)
@@ -76,6 +81,10 @@
     }
     return Explain(query.substr(kParameter.size()));
   });
+  control_.HandleRequest("/explain-request",
+                         [this](const ControlRequest& request) {
+                           return ExplainRequestOf(request);
+                         });
   const EdgeSettings& settings = options_.settings;
   for (const std::string& address :
        {settings.readiness_listen, settings.control_listen,
@@ -360,20 +369,47 @@
   return status.dump() + "\n";
 }
 
-ControlReply EdgeDaemon::Explain(std::string_view service) {
-  // The traffic thread computes the explanation. It shares the promise, which
-  // outlives this call if that thread is slow.
-  const auto promise =
-      std::make_shared<std::promise<std::optional<ServiceExplanation>>>();
+template <typename Explanation>
+std::optional<Explanation> EdgeDaemon::ExplainOnTrafficThread(
+    std::function<Explanation()> explain) {
+  // The traffic thread shares the promise, which outlives this call if that
+  // thread is slow.
+  const auto promise = std::make_shared<std::promise<Explanation>>();
   auto answer = promise->get_future();
-  RunOnTrafficThread([this, promise, name = std::string(service)] {
-    promise->set_value(ExplainService(core_, name, BootClock::now()));
+  RunOnTrafficThread([promise, explain = std::move(explain)] {
+    promise->set_value(explain());
   });
   if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
-    return {.status = 503, .body = "traffic thread did not respond in time\n"};
+    return std::nullopt;
+  }
+  return answer.get();
+}
+
+ControlReply EdgeDaemon::Explain(std::string_view service) {
+  const auto explanation =
+      ExplainOnTrafficThread<std::optional<ServiceExplanation>>(
+          [this, name = std::string(service)] {
+            return ExplainService(core_, name, BootClock::now());
+          });
+  if (!explanation) return TrafficThreadSlow();
+  if (!*explanation) return {.status = 404, .body = "unknown service\n"};
+  return {.content_type = "application/json", .body = ToJson(**explanation)};
+}
+
+ControlReply EdgeDaemon::ExplainRequestOf(const ControlRequest& request) {
+  const auto host = QueryParameter(request.query, "host");
+  const auto path = QueryParameter(request.query, "path");
+  if (!host || !path) {
+    return {.status = 400,
+            .body = "missing query parameter: ?host=HOST&path=PATH\n"};
   }
-  const auto explanation = answer.get();
-  if (!explanation) return {.status = 404, .body = "unknown service\n"};
+  const auto explanation = ExplainOnTrafficThread<RequestExplanation>(
+      [this, asked = RequestToExplain{.host = *host,
+                                      .target = *path,
+                                      .credentials = request.credentials}] {
+        return ExplainRequest(core_, asked, BootClock::now());
+      });
+  if (!explanation) return TrafficThreadSlow();
   return {.content_type = "application/json", .body = ToJson(*explanation)};
 }
 
