Quotas: contact probes count towards the bound; lacewingknotctl teams

Contact probes and the answers of probes were not in the bound of 5,500 bytes/s that quotas may cause; now they use it up, and asks and answers for tokens take what is left. The contact is checked every 75 ms instead of 150 ms, for the shorter lifetime of contact.

A request waits up to 150 ms, and a quarter of its timeout at most, while no keeper answers; for an empty bucket it waits as before.

--- a/lacewingknot/ctl/edge_commands.cc
+++ b/lacewingknot/ctl/edge_commands.cc
@@ -124,4 +124,42 @@
   return kExitOk;
 }
 
+int PrintTeams(const std::string& daemon, Output output) {
+  const auto fetched = FetchJson(daemon, "/teams", output);
+  if (!fetched) return kExitUsage;
+  const json& report = fetched.value();
+  if (output.json) {
+    output.out << report.dump() << "\n";
+    return kExitOk;
+  }
+  const json& teams = report.at("teams");
+  output.out << report.at("count") << " teams, quotas "
+             << (report.value("quotas_enforced", false) ? "" : "not ")
+             << "enforced; admitted and refused by this daemon in the last "
+             << report.at("seconds") << " s\n";
+  for (const json& team : teams) {
+    output.out << std::left << std::setw(kNameWidth) << team.value("name", "");
+    const json& priority = team.at("priority");
+    output.out << "priority "
+               << (priority.is_null() ? "of the route" : priority.dump());
+    if (team.contains("rate_per_s")) {
+      output.out << ", rate " << team.at("rate_per_s") << "/s, burst "
+                 << team.at("burst");
+    } else {
+      output.out << ", no limit";
+    }
+    if (team.contains("keeper")) {
+      const std::string keeper = team.value("keeper", "");
+      output.out << ", keeper " << (keeper.empty() ? "none" : keeper)
+                 << ", tokens held " << team.at("tokens_held") << ", admitted "
+                 << team.at("admitted") << ", refused " << team.at("refused");
+    }
+    output.out << "\n";
+  }
+  if (report.at("count") > teams.size()) {
+    output.out << "the others are not shown\n";
+  }
+  return kExitOk;
+}
+
 }  // namespace lacewingknot::ctl
--- a/lacewingknot/ctl/edge_commands.h
+++ b/lacewingknot/ctl/edge_commands.h
@@ -29,6 +29,10 @@
 int ExplainEdgeUpstreams(const std::string& daemon, const std::string& service,
                          Output output);
 
+// Prints the teams of an edge daemon's configuration: priority, rate, burst,
+// keeper, tokens held, and requests admitted and refused lately.
+int PrintTeams(const std::string& daemon, Output output);
+
 }  // namespace lacewingknot::ctl
 
 #endif  // LACEWINGKNOT_CTL_EDGE_COMMANDS_H_
--- a/lacewingknot/ctl/main.cc
+++ b/lacewingknot/ctl/main.cc
@@ -21,6 +21,7 @@
     "  effective SERVICE   settings of a service and where each is set\n"
     "  mechanisms          the mechanisms that settings can switch off\n"
     "  status              state of a daemon\n"
+    "  teams               teams and their quotas; only with --edge\n"
     "  explain SERVICE     which upstreams a query would use now, and why\n"
     "  query SERVICE       send one query\n"
     "  write SERVICE       send one non-idempotent request\n"
@@ -82,6 +83,7 @@
            [&] { return ctl::PrintMechanisms(arguments.argument, output); }},
           {"status",
            [&] { return ctl::PrintEdgeStatus(arguments.daemon, output); }},
+          {"teams", [&] { return ctl::PrintTeams(arguments.daemon, output); }},
           {"explain", [&] {
              return ctl::ExplainEdgeUpstreams(arguments.daemon,
                                               arguments.argument, output);
@@ -125,8 +127,9 @@
               << "; see --help\n";
     return ctl::kExitUsage;
   }
-  const bool needs_argument =
-      arguments.command != "status" && arguments.command != "mechanisms";
+  const bool needs_argument = arguments.command != "status" &&
+                              arguments.command != "mechanisms" &&
+                              arguments.command != "teams";
   if (needs_argument && arguments.argument.empty()) {
     std::cerr << "lacewingknotctl: " << arguments.command
               << " needs an argument; see --help\n";
--- a/lacewingknot/edge/client_connection.cc
+++ b/lacewingknot/edge/client_connection.cc
@@ -41,6 +41,10 @@
 constexpr int kQuotaPatienceDivisor = 5;
 constexpr Duration kMinQuotaPatience = std::chrono::milliseconds(25);
 constexpr Duration kMaxQuotaPatience = std::chrono::milliseconds(150);
+// While no keeper answers, a request waits kMaxQuotaPatience, but at most this
+// part of its timeout: the next keeper answers after some 80 ms, and a late
+// answer is worth more than a refusal.
+constexpr int kQuotaAnswerDivisor = 4;
 
 std::string RetryAfterHeader(Duration after) {
   std::array<char, 48> text{};
@@ -306,6 +310,9 @@
   const Duration patience =
       std::clamp<Duration>(route.spec->target_latency / kQuotaPatienceDivisor,
                            kMinQuotaPatience, kMaxQuotaPatience);
+  const Duration answer_patience = std::max(
+      patience,
+      std::min(kMaxQuotaPatience, route.spec->timeout / kQuotaAnswerDivisor));
   const std::string name = team.team->name;
   // The table that owns the route and the team outlives the wait.
   auto waiting = std::make_shared<ClientRequest>(std::move(request));
@@ -327,8 +334,8 @@
     self->OnAnswer({.status = kStatusTooManyRequests,
                     .retry_after = decision.retry_after});
   };
-  const auto ticket =
-      quotas->Acquire(name, request_read_at_ + patience, on_decision);
+  const auto ticket = quotas->Acquire(name, request_read_at_ + answer_patience,
+                                      on_decision, request_read_at_ + patience);
   if (ticket) quota_wait_.emplace(name, *ticket);
 }
 
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -11,6 +11,7 @@
 
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/edge/explanation.h"
+#include "lacewingknot/edge/team_report.h"
 
 namespace lacewingknot::edge {
 
@@ -76,6 +77,7 @@
     }
     return Explain(query.substr(kParameter.size()));
   });
+  control_.Handle("/teams", [this](std::string_view) { return Teams(); });
   const EdgeSettings& settings = options_.settings;
   for (const std::string& address :
        {settings.readiness_listen, settings.control_listen,
@@ -377,6 +379,22 @@
   return {.content_type = "application/json", .body = ToJson(*explanation)};
 }
 
+ControlReply EdgeDaemon::Teams() {
+  // As in Explain().
+  const auto promise = std::make_shared<std::promise<std::string>>();
+  auto answer = promise->get_future();
+  RunOnTrafficThread([this, promise] {
+    const auto routes = core_.routes();
+    promise->set_value(
+        TeamsToJson(routes ? routes->table->teams() : TeamTable(),
+                    core_.team_quotas(), BootClock::now()));
+  });
+  if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
+    return {.status = 503, .body = "traffic thread did not respond in time\n"};
+  }
+  return {.content_type = "application/json", .body = answer.get()};
+}
+
 void EdgeDaemon::Reload(const EdgeSettings& settings) {
   ConfigureLogging(settings.log_level, settings.vm);
   LogEvent(Event::kDaemonSettingsReloaded, {{"vm", settings.vm}});
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -96,6 +96,7 @@
   void UpdateReadiness();
   std::string Status() const;
   ControlReply Explain(std::string_view service);
+  ControlReply Teams();
   void RunOnTrafficThread(std::function<void()> run);
 
   Options options_;
--- a/lacewingknot/edge/edge_settings_test.cc
+++ b/lacewingknot/edge/edge_settings_test.cc
@@ -92,6 +92,62 @@
   }
 }
 
+TEST_F(EdgeSettingsTest, Quota_Absent_NoneIsEnforced) {
+  EXPECT_FALSE(ParseEdgeSettings(kValidFile).settings.quota_bounds);
+}
+
+TEST_F(EdgeSettingsTest, Quota_Given_IsRead) {
+  const std::string file(kValidFile);
+  const auto empty = ParseEdgeSettings(file + "[quota]\n");
+  ASSERT_TRUE(empty.faults.empty());
+  ASSERT_TRUE(empty.settings.quota_bounds);
+  EXPECT_EQ(empty.settings.quota_bounds->window, std::chrono::seconds(5));
+  EXPECT_DOUBLE_EQ(empty.settings.quota_bounds->overshoot, 0.25);
+  EXPECT_DOUBLE_EQ(empty.settings.quota_bounds->slack, 20);
+
+  const auto given = ParseEdgeSettings(
+      file + "[quota]\nwindow_ms = 2500\novershoot = 0\nslack = 7.5\n");
+  ASSERT_TRUE(given.faults.empty());
+  EXPECT_TRUE(given.ignored.empty());
+  ASSERT_TRUE(given.settings.quota_bounds);
+  EXPECT_EQ(given.settings.quota_bounds->window,
+            std::chrono::milliseconds(2'500));
+  EXPECT_DOUBLE_EQ(given.settings.quota_bounds->overshoot, 0);
+  EXPECT_DOUBLE_EQ(given.settings.quota_bounds->slack, 7.5);
+
+  const auto seconds = ParseEdgeSettings(file + "[quota]\nwindow_seconds = 8");
+  ASSERT_TRUE(seconds.faults.empty());
+  EXPECT_EQ(seconds.settings.quota_bounds->window, std::chrono::seconds(8));
+}
+
+TEST_F(EdgeSettingsTest, Quota_Invalid_IsRejectedWithKeyAndAcceptedForm) {
+  const struct {
+    std::string_view table, key;
+  } cases[] = {
+      {"window_ms = 999", "quota.window_ms"},
+      {"window_ms = \"long\"", "quota.window_ms"},
+      {"window_seconds = 601", "quota.window_seconds"},
+      {"overshoot = -0.1", "quota.overshoot"},
+      {"overshoot = nan", "quota.overshoot"},
+      {"overshoot = inf", "quota.overshoot"},
+      {"overshoot = true", "quota.overshoot"},
+      {"slack = -1", "quota.slack"},
+      {"slack = 2e6", "quota.slack"},
+  };
+  for (const auto& invalid : cases) {
+    const auto faults =
+        ParseEdgeSettings(std::string(kValidFile) + "[quota]\n" +
+                          std::string(invalid.table))
+            .faults;
+    ASSERT_EQ(faults.size(), 1U) << invalid.table;
+    EXPECT_EQ(faults.front().key, invalid.key);
+    EXPECT_FALSE(faults.front().accepted.empty());
+  }
+  const auto faults = FaultsAfterReplacing("log_level", "quota = 5\nlog_level");
+  ASSERT_EQ(faults.size(), 1U);
+  EXPECT_EQ(faults.front().key, "quota");
+}
+
 TEST_F(EdgeSettingsTest, File_NotToml_IsRejectedWithLine) {
   const auto parsed = ParseEdgeSettings("vm = \"a\"\nlisten = = 1\n");
   ASSERT_EQ(parsed.faults.size(), 1U);
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -151,21 +151,25 @@
   Send(pings);
 }
 
-void PeerGossip::Send(std::span<const OutgoingMemberMessage> messages) {
+std::size_t PeerGossip::Send(std::span<const OutgoingMemberMessage> messages) {
+  std::size_t bytes = 0;
   const TimePoint now = BootClock::now();
   const StoreReport report = LatestStoreReport();
   const auto age_of = [now](TimePoint at) {
     return at == TimePoint{} ? std::nullopt : std::optional<Duration>(now - at);
   };
   for (const OutgoingMemberMessage& outgoing : messages) {
-    SendDatagram(outgoing.to,
-                 {.membership = outgoing.message,
-                  .store_revision = report.revision,
-                  .store_epoch = EpochToTell(report, now),
-                  .store_confirmation_age = age_of(report.confirmed_at),
-                  .store_unbroken_for = age_of(report.unbroken_since),
-                  .store_state = StateToTell(report, now)});
+    bytes +=
+        kUdpAndIpHeaderBytes +
+        SendDatagram(outgoing.to,
+                     {.membership = outgoing.message,
+                      .store_revision = report.revision,
+                      .store_epoch = EpochToTell(report, now),
+                      .store_confirmation_age = age_of(report.confirmed_at),
+                      .store_unbroken_for = age_of(report.unbroken_since),
+                      .store_state = StateToTell(report, now)});
   }
+  return bytes;
 }
 
 void PeerGossip::TellIfOutdated(const StoreReport& report,
@@ -341,7 +345,7 @@
       const Member* chosen = members[random_() % members.size()];
       probes.push_back(membership_.Ping(chosen->address));
     }
-    Send(probes);
+    SendCounted(probes);
     UpdateMayGrant(now);
   }
   contact_timer_.expires_after(kContactCheckInterval);
@@ -400,21 +404,33 @@
   }
 }
 
-void PeerGossip::SendQuotaDatagram(const std::string& to,
-                                   std::vector<QuotaMessage> messages) {
-  const TimePoint now = BootClock::now();
-  constexpr double kMaxBytes = kMaxQuotaBytesPerSecond * kQuotaBurstSeconds;
+void PeerGossip::SaveQuotaBytes(TimePoint now) {
   quota_bytes_left_ = std::min(
-      kMaxBytes,
+      kMaxQuotaBytes,
       quota_bytes_left_ +
           std::chrono::duration<double>(now - quota_bytes_at_).count() *
               kMaxQuotaBytesPerSecond);
   quota_bytes_at_ = now;
+}
+
+void PeerGossip::SendCounted(std::span<const OutgoingMemberMessage> messages) {
+  const std::size_t bytes = Send(messages);
+  if (!has_quotas_) return;
+  SaveQuotaBytes(BootClock::now());
+  quota_bytes_left_ =
+      std::max(quota_bytes_left_ - static_cast<double>(bytes), -kMaxQuotaBytes);
+}
+
+void PeerGossip::SendQuotaDatagram(const std::string& to,
+                                   std::vector<QuotaMessage> messages) {
+  const TimePoint now = BootClock::now();
+  SaveQuotaBytes(now);
   const bool is_ask = std::all_of(
       messages.begin(), messages.end(), [](const QuotaMessage& message) {
         return message.kind == QuotaMessageKind::kAsk;
       });
-  if (quota_bytes_left_ < (is_ask ? kQuotaReservedForAnswers * kMaxBytes : 0)) {
+  if (quota_bytes_left_ <
+      (is_ask ? kQuotaReservedForAnswers * kMaxQuotaBytes : 0)) {
     if (options_.on_quota_message_dropped) options_.on_quota_message_dropped();
     return;
   }
@@ -456,7 +472,8 @@
     report.unbroken_since = now - *unbroken_for;
   }
   TellIfOutdated(report, message.value().membership.sender.address, now);
-  Send(membership_.OnMessage(message.value().membership, now));
+  // Answers of probes cannot be told from those of contact probes.
+  SendCounted(membership_.OnMessage(message.value().membership, now));
   if (options_.on_store_report) options_.on_store_report(report);
   if (options_.on_store_confirmed_at && report.confirmed_at != TimePoint{}) {
     options_.on_store_confirmed_at(message.value().membership.sender.address,
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -155,14 +155,17 @@
   // Statements that wait to be sent at most; the oldest ones are dropped.
   static constexpr std::size_t kMaxPendingStatements = 192;
 
-  // Bound of the traffic that quotas cause, in bytes with UDP and IP headers,
+  // Bound of the traffic that quotas cause, with contact probes and their
+  // answers, in bytes with UDP and IP headers,
   // and the part of the bytes saved up that asks leave to answers.
   static constexpr double kMaxQuotaBytesPerSecond = 5'500;
   static constexpr double kQuotaBurstSeconds = 2;
+  static constexpr double kMaxQuotaBytes =
+      kMaxQuotaBytesPerSecond * kQuotaBurstSeconds;
   static constexpr double kQuotaReservedForAnswers = 0.5;
   static constexpr std::size_t kUdpAndIpHeaderBytes = 28;
   static constexpr Duration kContactCheckInterval =
-      std::chrono::milliseconds(150);
+      std::chrono::milliseconds(75);
 
   void RunRound();
   void ReportQuotaMembers(TimePoint now);
@@ -173,6 +176,10 @@
   void UpdateMayGrant(TimePoint now);
   void OnQuotaMessages(const std::string& from,
                        std::span<const QuotaMessage> messages);
+  // Sends messages that count towards the bound of quotas, whatever is left.
+  void SendCounted(std::span<const OutgoingMemberMessage> messages);
+  // Adds what was saved up since the last call.
+  void SaveQuotaBytes(TimePoint now);
   void SendQuotaDatagram(const std::string& to,
                          std::vector<QuotaMessage> messages);
   void SendPendingStatements();
@@ -184,7 +191,8 @@
                            const GossipMessage& message);
   void Receive();
   void OnDatagram(std::size_t bytes);
-  void Send(std::span<const OutgoingMemberMessage> messages);
+  // Returns the bytes that were sent, with UDP and IP headers.
+  std::size_t Send(std::span<const OutgoingMemberMessage> messages);
   void ReportFleetSize();
   void ReportMembers();
   void PingSentinels(TimePoint now);
@@ -216,7 +224,7 @@
   bool has_quotas_ = false;
   bool may_grant_ = true;
   std::uint64_t quota_version_ = 0;
-  double quota_bytes_left_ = kMaxQuotaBytesPerSecond * kQuotaBurstSeconds;
+  double quota_bytes_left_ = kMaxQuotaBytes;
   TimePoint quota_bytes_at_{};
   boost::asio::steady_timer contact_timer_;
   // Sentinels that this daemon asks, in order of preference.
--- a/lacewingknot/edge/peer_gossip_test.cc
+++ b/lacewingknot/edge/peer_gossip_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "lacewingknot/policy/demand_shares.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -17,6 +19,8 @@
     std::vector<StatementReport> statements;  // Received.
     std::vector<StatementReport> latest;      // For daemons that start.
     std::vector<DemandSum> sums;              // Received.
+    std::vector<Member> quota_members;
+    std::vector<std::pair<std::string, QuotaMessage>> quota_answers;
   };
 
   // Tests run at the same time in processes of their own, so the address
@@ -58,6 +62,18 @@
                      [&daemon](std::vector<DemandSum> sums) {
                        daemon.sums = std::move(sums);
                      },
+                 .quota_bounds = QuotaBounds(),
+                 .on_quota_messages =
+                     [&daemon](const std::string& from,
+                               const std::vector<QuotaMessage>& messages) {
+                       for (const QuotaMessage& message : messages) {
+                         daemon.quota_answers.emplace_back(from, message);
+                       }
+                     },
+                 .on_quota_members =
+                     [&daemon](const std::vector<Member>& members, bool) {
+                       daemon.quota_members = members;
+                     },
                  .on_statements_wanted =
                      [&daemon](const std::string& address) {
                        daemon.gossip->SendStatements(address, daemon.latest);
@@ -201,5 +217,54 @@
   }
 }
 
+// Guards against asks or grants that are lost between a socket and the policy.
+TEST_F(PeerGossipTest, QuotaAsk_OverLoopback_IsGrantedByKeeperAlone) {
+  constexpr std::string_view kTeam = "search";
+  for (int i = 0; i < 2; ++i) StartDaemon(i);
+  RunUntil([&] {
+    return std::all_of(daemons_.begin(), daemons_.end(), [](const auto& entry) {
+      return entry.second.quota_members.size() == 2;
+    });
+  });
+  for (auto& [number, daemon] : daemons_) {
+    daemon.gossip->SetQuotas({{std::string(kTeam), {50, 20}}});
+  }
+  const std::string keeper = KeeperOf(kTeam, daemons_[0].quota_members);
+  const int keeper_number = keeper == Address(0) ? 0 : 1;
+  Daemon& asker = daemons_[1 - keeper_number];
+  const auto ask = [&](std::uint64_t number, const std::string& to) {
+    const OutgoingQuotaMessage message{
+        .to = to,
+        .message = {.team = std::string(kTeam), .number = number, .tokens = 3}};
+    asker.quota_answers.clear();
+    asker.gossip->SendQuotaMessages({&message, 1});
+    RunUntil([&] { return !asker.quota_answers.empty(); });
+  };
+  // The bucket fills from the time at which the keeper knows the quota.
+  std::uint64_t number = 0;
+  do {
+    // Asks without a pause would exceed the bound of bytes.
+    const TimePoint next = BootClock::now() + std::chrono::milliseconds(100);
+    RunUntil([&] { return BootClock::now() >= next; });
+    ask(++number, keeper);
+    ASSERT_FALSE(asker.quota_answers.empty());
+    ASSERT_EQ(asker.quota_answers.front().first, keeper);
+    ASSERT_EQ(asker.quota_answers.front().second.kind,
+              QuotaMessageKind::kGrant);
+  } while (asker.quota_answers.front().second.tokens < 3);
+  EXPECT_EQ(asker.quota_answers.front().second.number, number);
+  // A repeated ask gets the same grant.
+  const QuotaMessage grant = asker.quota_answers.front().second;
+  ask(number, keeper);
+  ASSERT_FALSE(asker.quota_answers.empty());
+  EXPECT_EQ(asker.quota_answers.front().second, grant);
+  // This daemon is not the keeper, and names it.
+  ask(++number, Address(1 - keeper_number));
+  ASSERT_FALSE(asker.quota_answers.empty());
+  EXPECT_EQ(asker.quota_answers.front().second.kind,
+            QuotaMessageKind::kElsewhere);
+  EXPECT_EQ(asker.quota_answers.front().second.keeper, keeper);
+}
+
 }  // namespace
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/team_quotas.cc
+++ b/lacewingknot/edge/team_quotas.cc
@@ -14,6 +14,11 @@
 // process are higher than those of earlier ones.
 constexpr std::uint64_t kAsksPerMillisecond = 1'000;
 
+std::int64_t SecondOf(TimePoint time) {
+  return std::chrono::floor<std::chrono::seconds>(time.time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 QuotaTable QuotasOf(const TeamTable& teams) {
@@ -43,9 +48,11 @@
 
 void TeamQuotas::SetQuotas(const QuotaTable& quotas) {
   quotas_ = quotas;
-  std::erase_if(unlogged_, [&](const auto& entry) {
+  const auto is_gone = [&](const auto& entry) {
     return !quotas.contains(entry.first);
-  });
+  };
+  std::erase_if(unlogged_, is_gone);
+  std::erase_if(recent_, is_gone);
   own_keeper_.SetQuotas(quotas, BootClock::now());
   client_.SetQuotas(quotas);
   Advance();
@@ -66,9 +73,11 @@
 
 std::optional<TeamQuotas::Ticket> TeamQuotas::Acquire(std::string_view team,
                                                       TimePoint latest,
-                                                      Callback callback) {
+                                                      Callback callback,
+                                                      TimePoint latest_token) {
   const Ticket ticket = ++last_ticket_;
-  const auto outcome = client_.Acquire(team, ticket, latest, BootClock::now());
+  const auto outcome =
+      client_.Acquire(team, ticket, latest, BootClock::now(), latest_token);
   if (outcome.kind != Kind::kWaits) {
     Decide(std::string(team), outcome, callback);
     Advance();
@@ -91,6 +100,24 @@
   Advance();
 }
 
+TeamQuotas::State TeamQuotas::StateOf(std::string_view team,
+                                      TimePoint now) const {
+  State state{.keeper = client_.Keeper(team, now),
+              .tokens_held = client_.HeldTokens(team, now)};
+  const auto recent = recent_.find(team);
+  if (recent == recent_.end()) return state;
+  const std::int64_t second = SecondOf(now);
+  for (const Recent::Second& counted : recent->second.seconds) {
+    if (counted.number < 0 ||
+        counted.number + std::ssize(recent->second.seconds) <= second) {
+      continue;
+    }
+    state.admitted += counted.admitted;
+    state.refused += counted.refused;
+  }
+  return state;
+}
+
 void TeamQuotas::Advance() {
   const TimePoint now = BootClock::now();
   client_.Tick(now);
@@ -135,6 +162,12 @@
 void TeamQuotas::Count(const std::string& team,
                        const TeamQuotaClient::Outcome& outcome, TimePoint now) {
   const bool is_allowed = outcome.kind == Kind::kAllowed;
+  auto& seconds = recent_[team].seconds;
+  const std::int64_t second = SecondOf(now);
+  Recent::Second& counted =
+      seconds[static_cast<std::size_t>(second % std::ssize(seconds))];
+  if (counted.number != second) counted = {.number = second};
+  ++(is_allowed ? counted.admitted : counted.refused);
   if (outcome.is_fallback) {
     options_.metrics->OnQuotaDecision(is_allowed ? "fallback_allowed"
                                                  : "fallback_refused");
--- a/lacewingknot/edge/team_quotas.h
+++ b/lacewingknot/edge/team_quotas.h
@@ -15,6 +15,7 @@
 #ifndef LACEWINGKNOT_EDGE_TEAM_QUOTAS_H_
 #define LACEWINGKNOT_EDGE_TEAM_QUOTAS_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -48,6 +49,16 @@
     bool is_allowed = false;
     Duration retry_after{};  // Of a refused request.
   };
+  // What operators see of a team with a quota.
+  struct State {
+    std::string keeper;  // Asked first at present; empty: none is known.
+    std::uint32_t tokens_held = 0;
+    // Decisions within kRecentTime.
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+  };
+  static constexpr Duration kRecentTime = std::chrono::seconds(10);
+
   using Callback = std::function<void(const Decision& decision)>;
   using Ticket = std::uint64_t;
 
@@ -63,13 +74,16 @@
                   std::span<const QuotaMessage> messages);
 
   // Asks for a token of `team` and calls `callback` once: now or, if a keeper
-  // must be asked, at `latest` or earlier. Returns a ticket if it waits.
+  // must be asked, at `latest` or earlier. An empty bucket is waited for until
+  // `latest_token`. Returns a ticket if it waits.
   std::optional<Ticket> Acquire(std::string_view team, TimePoint latest,
-                                Callback callback);
+                                Callback callback,
+                                TimePoint latest_token = TimePoint::max());
   // Drops a waiting request without a call of its callback.
   void Abandon(std::string_view team, Ticket ticket);
   // Returns the token of a request that was not sent.
   void GiveBack(std::string_view team);
+  State StateOf(std::string_view team, TimePoint now) const;
 
  private:
   struct Waiting {
@@ -84,6 +98,16 @@
     std::uint64_t fallback_refused = 0;
   };
 
+  // Decisions about a team in each second of the last kRecentTime.
+  struct Recent {
+    struct Second {
+      std::int64_t number = -1;  // Since the epoch of the clock.
+      std::uint64_t admitted = 0;
+      std::uint64_t refused = 0;
+    };
+    std::array<Second, kRecentTime / std::chrono::seconds(1)> seconds;
+  };
+
   // Least time between two log lines about a team.
   static constexpr Duration kLogInterval = std::chrono::seconds(1);
 
@@ -100,6 +124,7 @@
   QuotaTable quotas_;
   std::map<Ticket, Waiting> waiting_;
   std::map<std::string, Unlogged, std::less<>> unlogged_;
+  std::map<std::string, Recent, std::less<>> recent_;
   Ticket last_ticket_ = 0;
   TimerQueue::Id timer_;
 };
--- a/lacewingknot/edge/team_quotas_test.cc
+++ b/lacewingknot/edge/team_quotas_test.cc
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "lacewingknot/edge/gossip_messages.h"
+#include "lacewingknot/edge/team_report.h"
 #include "testing/edge_fixture.h"
 
 namespace lacewingknot::edge {
@@ -75,6 +77,35 @@
   EXPECT_TRUE(is_allowed);
 }
 
+// Guards against keys, or what tells one, in what operators see.
+TEST_F(TeamQuotasTest, Report_OfTeams_ShowsQuotaButNoKey) {
+  const TeamTable teams(
+      {{.team = {.name = "search",
+                 .priority = 2,
+                 .rate_per_second = 0.5,
+                 .burst = 1},
+        .keys = {DigestOfKey("very-secret")}},
+       {.team = {.name = "free"}, .keys = {DigestOfKey("other-secret")}}});
+  quotas_.SetQuotas(QuotasOf(teams));
+  RunFor(std::chrono::milliseconds(2'100));
+  ASSERT_TRUE(Acquire().is_allowed);
+  EXPECT_FALSE(Acquire().is_allowed);
+  const std::string text = TeamsToJson(teams, &quotas_, BootClock::now());
+  const auto report = nlohmann::json::parse(text);
+  const auto& search = report.at("teams").at(0);
+  const nlohmann::json expected{{"name", "search"},  {"priority", 2},
+                                {"rate_per_s", 0.5}, {"burst", 1.0},
+                                {"admitted", 1},     {"refused", 1},
+                                {"keeper", "self"},  {"tokens_held", 0}};
+  EXPECT_EQ(search, expected);
+  const nlohmann::json unlimited{{"name", "free"}, {"priority", nullptr}};
+  EXPECT_EQ(report.at("teams").at(1), unlimited);
+  EXPECT_EQ(report.at("quotas_enforced"), true);
+  // Counts are of the last seconds only.
+  const TimePoint later = BootClock::now() + TeamQuotas::kRecentTime;
+  EXPECT_EQ(quotas_.StateOf("search", later).admitted, 0U);
+}
+
 GossipMessage QuotaDatagram(std::size_t messages) {
   GossipMessage message{
       .membership = {.kind = MemberMessageKind::kProbeAck,
