Quotas: answers of probes count with the size of a probe; notes and takeover tests

Lists of members are answers as well: a daemon that joins asks for one, and 20 KB would have stopped the asks of the daemon that sends it for two seconds. Only probes and their answers count, with 150 bytes at most.

Unit tests guard the conditions of the takeover level: without the rule on silent daemons, lost members or earlier takeovers they fail (tried on a scratch copy).

--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -414,11 +414,22 @@
 }
 
 void PeerGossip::SendCounted(std::span<const OutgoingMemberMessage> messages) {
-  const std::size_t bytes = Send(messages);
-  if (!has_quotas_) return;
-  SaveQuotaBytes(BootClock::now());
-  quota_bytes_left_ =
-      std::max(quota_bytes_left_ - static_cast<double>(bytes), -kMaxQuotaBytes);
+  // A probe and its headers. Lists and updates of members, which answers may
+  // carry as well, are not caused by quotas.
+  constexpr std::size_t kMaxProbeBytes = 150;
+  for (const OutgoingMemberMessage& outgoing : messages) {
+    const std::size_t bytes = Send({&outgoing, 1});
+    const MemberMessageKind kind = outgoing.message.kind;
+    if (!has_quotas_ || (kind != MemberMessageKind::kProbe &&
+                         kind != MemberMessageKind::kProbeAck)) {
+      continue;
+    }
+    SaveQuotaBytes(BootClock::now());
+    quota_bytes_left_ =
+        std::max(quota_bytes_left_ -
+                     static_cast<double>(std::min(bytes, kMaxProbeBytes)),
+                 -kMaxQuotaBytes);
+  }
 }
 
 void PeerGossip::SendQuotaDatagram(const std::string& to,
--- a/lacewingknot/policy/team_quota_takeover_test.cc
+++ b/lacewingknot/policy/team_quota_takeover_test.cc
@@ -126,5 +126,64 @@
   EXPECT_LT(TakeoverLevel(kModest, {.overshoot = 0, .slack = 0}), 0);
 }
 
+// One daemon that stands in for the keeper of a team.
+class TeamQuotaStandInTest : public ::testing::Test {
+ protected:
+  TeamQuotaStandInTest() {
+    keeper_.SetQuotas({{"a", kModest}}, now_);
+    keeper_.SetMembers(members_, true, now_);
+    now_ += seconds(60);
+  }
+  // Asks until the stand-in has taken over from daemons that do not answer.
+  // Returns the tokens that it grants.
+  std::uint32_t TakeOver() {
+    const QuotaMessage ask{
+        .team = "a", .number = ++number_, .tokens = 9, .is_stand_in = true};
+    keeper_.OnMessage("asker", ask, now_);
+    now_ += TeamQuotaKeeper::kClaimTimeout;
+    for (const auto& sent : keeper_.OnMessage("asker", ask, now_)) {
+      if (sent.message.kind == QuotaMessageKind::kGrant) {
+        return sent.message.tokens;
+      }
+    }
+    ADD_FAILURE() << "no grant";
+    return 0;
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  const std::vector<Member> members_{
+      {.address = "x"}, {.address = "y"}, {.address = "z"}};
+  const std::vector<std::string> ranking_ = RankKeepers("a", members_, 3);
+  std::uint64_t number_ = 0;
+  TeamQuotaKeeper keeper_{{.self = ranking_[1]}, now_};
+};
+
+// Guards against a burst for each of several takeovers in one window.
+TEST_F(TeamQuotaStandInTest, SecondTakeoverInWindow_GrantsNothingAtFirst) {
+  EXPECT_EQ(TakeOver(), 9U);
+  // The keeper was only slow.
+  now_ += milliseconds(200);
+  keeper_.OnMessage(
+      ranking_[0], {.kind = QuotaMessageKind::kRefuseClaim, .team = "a"}, now_);
+  ASSERT_EQ(keeper_.bucket_count(), 0U);
+  now_ += milliseconds(200);
+  EXPECT_EQ(TakeOver(), 0U);
+}
+
+TEST_F(TeamQuotaStandInTest, TwoDaemonsSilent_GrantsNothingAtFirst) {
+  keeper_ = TeamQuotaKeeper({.self = ranking_[2]}, now_);
+  keeper_.SetQuotas({{"a", kModest}}, now_);
+  keeper_.SetMembers(members_, true, now_);
+  EXPECT_EQ(TakeOver(), 0U);
+}
+
+TEST_F(TeamQuotaStandInTest, MemberLostInWindow_GrantsNothingAtFirst) {
+  auto more = members_;
+  more.push_back({.address = "w"});
+  keeper_.SetMembers(more, true, now_);
+  keeper_.SetMembers(members_, true, now_);
+  EXPECT_EQ(TakeOver(), 0U);
+}
+
 }  // namespace
 }  // namespace lacewingknot
