--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -12,6 +12,7 @@
 #include "lacewingknot/base/event_log.h"
 #include "lacewingknot/edge/explanation.h"
 #include "lacewingknot/edge/request_explanation.h"
+#include "lacewingknot/edge/team_report.h"
 
 namespace lacewingknot::edge {
 
@@ -85,6 +86,7 @@
                          [this](const ControlRequest& request) {
                            return ExplainRequestOf(request);
                          });
+  control_.Handle("/teams", [this](std::string_view) { return Teams(); });
   const EdgeSettings& settings = options_.settings;
   for (const std::string& address :
        {settings.readiness_listen, settings.control_listen,
@@ -413,6 +415,22 @@
   return {.content_type = "application/json", .body = ToJson(*explanation)};
 }
 
+ControlReply EdgeDaemon::Teams() {
+  // As in Explain().
+  const auto promise = std::make_shared<std::promise<std::string>>();
+  auto answer = promise->get_future();
+  RunOnTrafficThread([this, promise] {
+    const auto routes = core_.routes();
+    promise->set_value(
+        TeamsToJson(routes ? routes->table->teams() : TeamTable(),
+                    core_.team_quotas(), BootClock::now()));
+  });
+  if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
+    return {.status = 503, .body = "traffic thread did not respond in time\n"};
+  }
+  return {.content_type = "application/json", .body = answer.get()};
+}
+
 void EdgeDaemon::Reload(const EdgeSettings& settings) {
   ConfigureLogging(settings.log_level, settings.vm);
   LogEvent(Event::kDaemonSettingsReloaded, {{"vm", settings.vm}});
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -102,6 +102,7 @@
   template <typename Explanation>
   std::optional<Explanation> ExplainOnTrafficThread(
       std::function<Explanation()> explain);
+  ControlReply Teams();
   void RunOnTrafficThread(std::function<void()> run);
 
   Options options_;
