Contents by peers: read the store at once at the start, resume by revision, compress

Change: a daemon without contents reads the store at once; a sentinel asks the store for 1 s before it follows; sources send the changes since the follower's revision and remember deletions; items are compressed; followers return to the preferred source after 10 s. A message of fewer fields than the layout has is refused, which the test with random bytes found.

--- a/lacewingknot/daemon/main.cc
+++ b/lacewingknot/daemon/main.cc
@@ -142,8 +142,7 @@
        .on_store_confirmed_at =
            [&](const std::string& from, lacewingknot::TimePoint confirmed_at) {
              store->OnPeerConfirmed(from, confirmed_at);
-           },
-       .on_contents_wanted = [&] { store->OnContentsWanted(); }});
+           }});
   std::optional<lacewingknot::platform::StoreReader::PeerOptions> by_peers;
   if (daemon.passes_contents()) {
     by_peers = {
--- a/lacewingknot/edge/contents_messages.cc
+++ b/lacewingknot/edge/contents_messages.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "lacewingknot/edge/internal/compression.h"
 #include "lacewingknot/edge/internal/object_count.h"
 
 namespace lacewingknot::edge {
@@ -14,7 +15,7 @@
 constexpr std::size_t kLengthPrefixBytes = 4;
 // First element of each message. A new layout needs a new number; a peer of
 // another release closes the link.
-constexpr std::uint32_t kContentsVersion = 1;
+constexpr std::uint32_t kContentsVersion = 2;
 constexpr std::size_t kMaxKeyBytes = 512;
 // A longer time is as good as this one.
 constexpr std::uint64_t kMaxAgeMs = 86'400'000;
@@ -32,7 +33,8 @@
 using WireState = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t>;
 // Version, kind, epoch, current revision, last page's revision, base revision,
 // revision, state, three times (0 or 1 plus milliseconds), pause in
-// milliseconds, milliseconds since the items were encoded, hops, items.
+// milliseconds, milliseconds since the items were encoded, hops, items
+// (compressed: a configuration of some tens of kilobytes goes to every daemon).
 using WireMessage =
     std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::uint64_t,
                std::uint64_t, std::uint64_t, std::uint64_t, WireState,
@@ -57,9 +59,14 @@
   return DecodeMillis(wire - 1);
 }
 
-std::vector<ContentsItem> DecodeItems(std::string_view bytes, Duration age) {
+std::vector<ContentsItem> DecodeItems(std::string_view compressed,
+                                      Duration age) {
   std::vector<ContentsItem> items;
-  if (bytes.empty()) return items;
+  if (compressed.empty()) return items;
+  const Result<std::string> decompressed =
+      internal::Decompress(compressed, kMaxContentsFrameBytes);
+  if (!decompressed) throw msgpack::type_error();
+  const std::string& bytes = decompressed.value();
   if (internal::HasMoreObjects(bytes,
                                kMaxContentsItems * kObjectsPerItem + 1)) {
     throw msgpack::type_error();
@@ -125,7 +132,11 @@
         (item.deleted ? kDeletedFlag : 0) | (item.refused ? kRefusedFlag : 0),
         EncodeMillis(item.age)));
   }
-  return {bytes.data(), bytes.size()};
+  // EncodeContentsFrame() refuses these.
+  if (bytes.size() > kMaxContentsFrameBytes) {
+    return {bytes.data(), bytes.size()};
+  }
+  return internal::Compress({bytes.data(), bytes.size()});
 }
 
 std::string EncodeContentsFrame(const ContentsMessage& message,
@@ -187,6 +198,11 @@
   }
   try {
     const auto handle = msgpack::unpack(body.data(), body.size());
+    // A tuple also takes a shorter array.
+    if (handle.get().type != msgpack::type::ARRAY ||
+        handle.get().via.array.size != std::tuple_size_v<WireMessage>) {
+      throw msgpack::type_error();
+    }
     std::optional<ContentsMessage> message =
         ParseMessage(handle.get().as<WireMessage>());
     received.erase(0, kLengthPrefixBytes + length);
--- a/lacewingknot/edge/contents_messages_test.cc
+++ b/lacewingknot/edge/contents_messages_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "lacewingknot/edge/internal/compression.h"
+
 namespace lacewingknot::edge {
 namespace {
 
@@ -131,6 +133,22 @@
   EXPECT_GT(refused, 5'000);
 }
 
+// Guards against a peer whose message of some kilobytes takes all memory.
+TEST(ContentsMessagesTest, Items_DecompressToMoreThanAFrame_Refused) {
+  const std::string items =
+      internal::Compress(std::string(8 * kMaxContentsFrameBytes, '\0'));
+  std::string received =
+      EncodeContentsFrame({.kind = ContentsKind::kSnapshot}, items);
+  EXPECT_LT(received.size(), kMaxContentsFrameBytes / 20);
+  EXPECT_FALSE(ExtractContentsFrame(received, kMaxContentsFrameBytes));
+}
+
+TEST(ContentsMessagesTest, Items_NotCompressed_Refused) {
+  std::string received =
+      EncodeContentsFrame({.kind = ContentsKind::kSnapshot}, "\x90");
+  EXPECT_FALSE(ExtractContentsFrame(received, kMaxContentsFrameBytes));
+}
+
 TEST(ContentsMessagesTest, Bytes_Random_RefusedOrIncomplete) {
   std::mt19937 random(10);
   for (int i = 0; i < 20'000; ++i) {
--- a/lacewingknot/edge/contents_server.cc
+++ b/lacewingknot/edge/contents_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <set>
 #include <utility>
 
 #include "lacewingknot/edge/contents_client.h"
@@ -83,14 +84,19 @@
   if (!has_contents_) {
     follower.link->Send(std::make_shared<const std::string>(
         EncodeContentsFrame(MakeMessage(ContentsKind::kEmpty, now))));
-    options_.on_wanted();
     return;
   }
   follower.is_in_step = true;
-  if (HasContents(request, latest_)) {
+  // A follower that is ahead gets the changes from its revision on.
+  const bool is_ahead = request.epoch == latest_.epoch &&
+                        request.store_revision > latest_.store_revision;
+  if (is_ahead || HasContents(request, latest_)) {
     follower.link->Send(std::make_shared<const std::string>(
         EncodeContentsFrame(MakeMessage(ContentsKind::kConfirmation, now))));
     options_.on_sent("confirmation");
+  } else if (const FramePtr changes = MakeMissedChanges(request, now)) {
+    follower.link->Send(changes);
+    options_.on_sent("changes");
   } else if (const FramePtr frame = MakeSnapshot(now)) {
     follower.link->Send(frame);
     options_.on_sent("snapshot");
@@ -117,6 +123,7 @@
   if (!has_contents_ && !update.is_snapshot) return;
   const bool is_first = !std::exchange(has_contents_, true);
   const bool has_changes = !update.items.empty();
+  const std::uint64_t epoch = latest_.epoch;
   const std::uint64_t base = latest_.store_revision;
   // A source reads everything again after each loss of the store, mostly to
   // find the same contents.
@@ -130,7 +137,13 @@
   latest_ = std::move(update);
   latest_.items = {};
   if (is_snapshot && (is_first || !is_same)) {
-    SendSnapshots(now);
+    const FramePtr missed =
+        MakeMissedChanges({.epoch = epoch, .store_revision = base}, now);
+    if (missed) {
+      SendToFollowers(missed, "changes");
+    } else {
+      SendSnapshots(now);
+    }
   } else if (has_changes && !is_snapshot) {
     ContentsMessage message = MakeMessage(ContentsKind::kChanges, now);
     message.base_revision = base;
@@ -149,13 +162,18 @@
 }
 
 void ContentsServer::ApplyItems(ContentsUpdate& update) {
-  if (update.is_snapshot) items_.clear();
+  if (update.is_snapshot) {
+    RememberMissing(update);
+    items_.clear();
+  }
   if (update.is_snapshot || !update.items.empty()) encoded_items_ = {};
   for (ContentsItem& item : update.items) {
     if (item.deleted) {
       items_.erase(item.key);
+      RememberDeletion(item.key, item.revision);
       continue;
     }
+    deletions_.erase(item.key);
     items_[item.key] = {.value = std::move(item.value),
                         .revision = item.revision,
                         .refused = item.refused,
@@ -163,6 +181,67 @@
   }
 }
 
+void ContentsServer::RememberMissing(const ContentsUpdate& update) {
+  const bool is_continued = update.epoch == latest_.epoch &&
+                            latest_.store_revision != 0 &&
+                            update.store_revision >= latest_.store_revision;
+  if (!is_continued) {
+    deletions_.clear();
+    deletions_since_ = update.store_revision;
+    return;
+  }
+  std::set<std::string_view> present;
+  for (const ContentsItem& item : update.items) {
+    if (!item.deleted) present.insert(item.key);
+  }
+  for (const auto& [key, item] : items_) {
+    if (present.count(key) == 0) RememberDeletion(key, update.store_revision);
+  }
+}
+
+void ContentsServer::RememberDeletion(const std::string& key,
+                                      std::uint64_t revision) {
+  deletions_[key] = revision;
+  if (deletions_.size() <= kMaxDeletions) return;
+  const auto oldest = std::min_element(deletions_.begin(), deletions_.end(),
+                                       [](const auto& one, const auto& other) {
+                                         return one.second < other.second;
+                                       });
+  deletions_since_ = oldest->second;
+  deletions_.erase(oldest);
+}
+
+ContentsServer::FramePtr ContentsServer::MakeMissedChanges(
+    const ContentsMessage& request, TimePoint now) const {
+  const std::uint64_t base = request.store_revision;
+  // Without a digest the follower could not tell whether its contents belong
+  // to the same history.
+  if (base == 0 || base < deletions_since_ || request.epoch != latest_.epoch ||
+      base > latest_.store_revision || !latest_.report.state.is_known()) {
+    return nullptr;
+  }
+  std::vector<ContentsItem> changes;
+  for (const auto& [key, item] : items_) {
+    if (item.revision <= base) continue;
+    changes.push_back({.key = key,
+                       .value = item.value,
+                       .revision = item.revision,
+                       .refused = item.refused,
+                       .age = now - item.read_at});
+  }
+  for (const auto& [key, revision] : deletions_) {
+    if (revision <= base) continue;
+    changes.push_back({.key = key, .revision = revision, .deleted = true});
+  }
+  if (changes.size() > items_.size()) return nullptr;
+  ContentsMessage message = MakeMessage(ContentsKind::kChanges, now);
+  message.base_revision = base;
+  std::string frame =
+      EncodeContentsFrame(message, EncodeContentsItems(changes));
+  if (frame.empty()) return nullptr;
+  return std::make_shared<const std::string>(std::move(frame));
+}
+
 ContentsMessage ContentsServer::MakeMessage(ContentsKind kind,
                                             TimePoint now) const {
   const auto age_of = [now](TimePoint at) {
--- a/lacewingknot/edge/contents_server.h
+++ b/lacewingknot/edge/contents_server.h
@@ -66,9 +66,8 @@
  public:
   struct Options {
     std::string gossip_address;  // IP:PORT; listens on the next higher port.
-    // A follower asked while there are no contents.
-    std::function<void()> on_wanted = [] {};
-    // Counts a message that was sent: "snapshot", "changes" or "confirmation".
+    // Counts a message that was sent: "snapshot", "changes" (also those that a
+    // follower has missed) or "confirmation".
     std::function<void(std::string_view kind)> on_sent = [](std::string_view) {
     };
   };
@@ -100,6 +99,8 @@
 
   // More than daemons of a fleet that start together.
   static constexpr std::size_t kMaxFollowers = 600;
+  // Deletions that are remembered for followers that resume.
+  static constexpr std::size_t kMaxDeletions = 4'096;
   static constexpr Duration kConfirmationInterval =
       std::chrono::milliseconds(500);
 
@@ -107,8 +108,16 @@
   void OnRequest(Follower& follower, const ContentsMessage& request);
   void Apply(ContentsUpdate update);
   void ApplyItems(ContentsUpdate& update);
+  // Remembers the items that `update`, a snapshot, lacks as deleted. Otherwise
+  // followers could not resume after the source has read everything again.
+  void RememberMissing(const ContentsUpdate& update);
+  void RememberDeletion(const std::string& key, std::uint64_t revision);
   // A message without items about what is in force.
   ContentsMessage MakeMessage(ContentsKind kind, TimePoint now) const;
+  // Changes since the contents that the follower has; null if they are not all
+  // known, or too many for a snapshot to be larger.
+  FramePtr MakeMissedChanges(const ContentsMessage& request,
+                             TimePoint now) const;
   // The frame of a snapshot; null if it would be too large.
   FramePtr MakeSnapshot(TimePoint now);
   void SendSnapshots(TimePoint now);
@@ -123,6 +132,9 @@
   std::uint64_t next_follower_ = 0;
   bool has_contents_ = false;
   std::map<std::string, Item> items_;
+  // Revisions of the deletions after `deletions_since_`.
+  std::map<std::string, std::uint64_t> deletions_;
+  std::uint64_t deletions_since_ = 0;
   ContentsUpdate latest_;  // Without its items.
   // The encoded items of a snapshot, and when they were encoded; empty if they
   // have changed since.
--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -201,7 +201,6 @@
   contents_server_.emplace(
       control_io_,
       ContentsServer::Options{.gossip_address = options_.settings.gossip_listen,
-                              .on_wanted = options_.on_contents_wanted,
                               .on_sent = [this](std::string_view kind) {
                                 metrics_.OnContentsMessage("sent", kind);
                               }});
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -45,8 +45,6 @@
     // Called with when the store confirmed the contents of daemon `from`.
     std::function<void(const std::string& from, TimePoint confirmed_at)>
         on_store_confirmed_at;
-    // Called when a daemon asks this one for contents that it does not have.
-    std::function<void()> on_contents_wanted = [] {};
   };
 
   explicit EdgeDaemon(Options options);
--- a/lacewingknot/policy/contents_source.cc
+++ b/lacewingknot/policy/contents_source.cc
@@ -15,13 +15,15 @@
 
 ContentsSource::Decision ContentsSource::Decide(TimePoint now,
                                                 const State& state) {
-  if (!started_at_) started_at_ = now;
   const bool reads_store = state.peers.is_settled && state.peers.is_sentinel;
-  if (reads_store && !is_store_lost_) {
+  const bool keeps_reading =
+      !is_store_lost_ || now - store_lost_at_ < kFollowsAfter;
+  if (reads_store && keeps_reading) {
     SetPeer({}, now);
     is_following_ = false;
     left_ = 0;
-    return {.calls_store = true, .until = now};
+    const TimePoint call_at = std::max(now, store_retry_at_);
+    return {.calls_store = call_at == now, .until = call_at};
   }
   Decision decision;
   if (const std::string_view reason = Unfitness(now, state); !reason.empty()) {
@@ -36,13 +38,20 @@
   }
   std::erase_if(avoided_until_,
                 [&](const auto& avoided) { return avoided.second <= now; });
+  if (!peer_.empty() && is_following_ && now - chosen_at_ >= kReturnAfter) {
+    const std::string preferred = ChoosePeer(now, state);
+    if (!preferred.empty() && preferred != peer_) {
+      decision.left = Left{.peer = peer_, .reason = "not_preferred"};
+      SetPeer(preferred, now);
+    }
+  }
   if (peer_.empty()) SetPeer(ChoosePeer(now, state), now);
   is_following_ = IsFit(now, state);
   if (is_following_) left_ = 0;
   if (is_following_ && latest_.hops == 0 && !reads_store) OnStoreAnswered();
   decision.peer = peer_;
   const bool needs_store = reads_store ||
-                           (!is_following_ && MayCallStore(now, state)) ||
+                           (!is_following_ && MayCallStore(state)) ||
                            (is_store_lost_ && latest_.hops > 0);
   decision.calls_store = needs_store && now >= store_retry_at_;
   decision.until = needs_store && !decision.calls_store
@@ -72,9 +81,7 @@
   }
   if (now - *heard_at_ >= kSilence) return "silent";
   if (!latest_.has_contents) {
-    return state.has_contents || now - *started_at_ >= kFirstContents
-               ? "empty"
-               : std::string_view();
+    return now - chosen_at_ >= kFirstContents ? "empty" : std::string_view();
   }
   if (!AcceptsHops(latest_.hops, state)) return "indirect";
   const bool is_stale = IsStale(now);
@@ -141,13 +148,11 @@
          !IsStale(now);
 }
 
-bool ContentsSource::MayCallStore(TimePoint now, const State& state) const {
+bool ContentsSource::MayCallStore(const State& state) const {
   if (peer_.empty() || left_ >= kSourcesBeforeStore || is_store_lost_) {
     return true;
   }
-  if (state.has_contents) return false;
-  if (is_wanted_) return true;
-  return now - *started_at_ >= (opened_at_ ? kFirstContents : kFirstAnswer);
+  return !state.has_contents;
 }
 
 TimePoint ContentsSource::NextDecision(TimePoint now) const {
@@ -181,6 +186,7 @@
 void ContentsSource::OnStoreFailed(TimePoint now, const State& state) {
   // The sources that were left are no worse than the store.
   if (!is_store_lost_) avoided_until_.clear();
+  if (!is_store_lost_) store_lost_at_ = now;
   is_store_lost_ = true;
   const bool is_urgent = !state.has_contents || state.peers.is_sentinel;
   std::uniform_real_distribution<double> jitter(0.75, 1);
--- a/lacewingknot/policy/contents_source.h
+++ b/lacewingknot/policy/contents_source.h
@@ -17,8 +17,9 @@
 //
 // When all daemons start together, no sentinels are known yet. Each daemon asks
 // the seeds of its settings in an order that is the same everywhere, so that
-// one or two seeds are asked by all. A daemon that is asked and has no contents
-// reads the store at once; the others wait for it for a moment.
+// one or two seeds are asked by all. A daemon without contents also reads the
+// store at once: one that waits for a source serves nothing meanwhile, and a
+// fleet that returns from a power loss loses its requests.
 //
 // No I/O and no clock. Not thread-safe.
 //
@@ -83,7 +84,7 @@
   struct Left {
     std::string peer;
     // "silent", "empty", "behind", "stale", "indirect", "lost", "refused",
-    // "unread", "unlisted".
+    // "unread", "unlisted", "not_preferred".
     std::string_view reason;
   };
   struct Decision {
@@ -109,8 +110,6 @@
   // The link to the source failed or was closed; "refused" if by this daemon,
   // because of a message that it does not accept.
   void OnLinkLost(std::string_view reason) { lost_reason_ = reason; }
-  // A peer without contents was asked for them: this daemon.
-  void OnContentsWanted() { is_wanted_ = true; }
   // A peer reports when the store last confirmed its contents.
   void OnPeerReport(const std::string& peer, TimePoint confirmed_at);
   // The outcome of a call to the store.
@@ -125,16 +124,16 @@
  private:
   // Time without a message after which a source is silent.
   static constexpr Duration kSilence = std::chrono::milliseconds(1'000);
-  // Time for opening a link, so that two sources can be tried within
-  // kFirstAnswer, and for the first message over it.
+  // Time for opening a link, and for the first message over it.
   static constexpr Duration kOpening = std::chrono::milliseconds(150);
   static constexpr Duration kFirstMessage = std::chrono::milliseconds(300);
-  // Time from its start for which a daemon without contents waits for a link.
-  static constexpr Duration kFirstAnswer = std::chrono::milliseconds(300);
-  // The same for contents of a source that is still reading them.
+  // Time for which a source may be without contents: it has just started.
   static constexpr Duration kFirstContents = std::chrono::milliseconds(600);
   // Time for which a source that was left is not asked again.
   static constexpr Duration kAvoidFor = std::chrono::milliseconds(3'000);
+  // Time after which a source is left for one that is preferred, which was
+  // avoided or unknown before: the preferred ones are in this data centre.
+  static constexpr Duration kReturnAfter = std::chrono::seconds(10);
   // Sources that are tried before the store is asked.
   static constexpr int kSourcesBeforeStore = 2;
   // A peer whose confirmation is later by more than this is preferred while
@@ -149,6 +148,10 @@
   // in a circle. Before the sentinels are known, and for a daemon that the
   // store refuses, other sources do; in a circle the number grows.
   static constexpr std::uint32_t kMaxHops = 4;
+  // Time for which a sentinel that has lost the store goes on asking it before
+  // it follows another one. Its followers leave it when it does, and most
+  // losses are reset connections, after which the next call succeeds.
+  static constexpr Duration kFollowsAfter = std::chrono::milliseconds(1'000);
   // Delay after a failed call to the store, doubled up to a maximum. Sentinels,
   // and daemons that have no contents yet, must notice its return soon.
   static constexpr Duration kInitialRetry = std::chrono::milliseconds(150);
@@ -165,12 +168,11 @@
   bool IsStale(TimePoint now) const;
   // Whether the freshest peer known by gossip may be used.
   bool HasFresherPeer(TimePoint now) const;
-  bool MayCallStore(TimePoint now, const State& state) const;
+  bool MayCallStore(const State& state) const;
   bool IsFit(TimePoint now, const State& state) const;
   TimePoint NextDecision(TimePoint now) const;
 
   Options options_;
-  std::optional<TimePoint> started_at_;
   std::string peer_;
   TimePoint chosen_at_{};
   std::optional<TimePoint> opened_at_;  // The link to the source.
@@ -184,8 +186,8 @@
   std::map<std::string, TimePoint> avoided_until_;
   int left_ = 0;  // Sources left since the last fit one.
   bool is_following_ = false;
-  bool is_wanted_ = false;
   bool is_store_lost_ = false;
+  TimePoint store_lost_at_{};  // If it is lost.
   Duration retry_delay_ = kInitialRetry;
   TimePoint store_retry_at_{};
   std::string freshest_peer_;
