Scattered queries: one list of queried data centres, each with its state

ScatterSession kept the data centres that were queried and those that declined in two lists, whose entries had to be matched by name. One list of entries with a state replaces them; behaviour is unchanged.

--- a/lacewingknot/edge/scatter_relays.cc
+++ b/lacewingknot/edge/scatter_relays.cc
@@ -14,6 +14,26 @@
 
 }  // namespace
 
+void ScatterSession::SetState(Shard& shard, std::string_view data_centre,
+                              QueriedDataCentre::State state) {
+  for (QueriedDataCentre& queried : shard.queried_data_centres) {
+    if (queried.name == data_centre) queried.state = state;
+  }
+}
+
+void ScatterSession::AddDirectQuery(Shard& shard,
+                                    const std::string& data_centre) {
+  const auto same = std::find_if(shard.queried_data_centres.begin(),
+                                 shard.queried_data_centres.end(),
+                                 [&](const QueriedDataCentre& queried) {
+                                   return queried.name == data_centre;
+                                 });
+  const auto state = same == shard.queried_data_centres.end()
+                         ? QueriedDataCentre::State::kQueried
+                         : same->state;
+  shard.queried_data_centres.push_back({.name = data_centre, .state = state});
+}
+
 RelayTable::Choice ScatterSession::ChooseAnotherRelay(std::size_t index,
                                                       TimePoint now) const {
   const Shard& shard = shards_[index];
@@ -29,19 +49,24 @@
   if (relays.mode() == RelayMode::kSpread && is_last_usable) {
     // It can use all replicas, and knows which ones were tried.
     return {.relay = shard.last_relay,
-            .data_centre = shard.queried_data_centres.back()};
+            .data_centre = shard.queried_data_centres.back().name};
+  }
+  std::vector<std::string> excluded;
+  excluded.reserve(shard.queried_data_centres.size());
+  for (const QueriedDataCentre& queried : shard.queried_data_centres) {
+    excluded.push_back(queried.name);
   }
   RelayTable::Choice choice =
       relays.ChooseRelay({.replica_data_centres = service.usable_data_centres(),
                           .group = service.relay_group(),
                           .query = query_number_,
-                          .excluded_data_centres = shard.queried_data_centres},
+                          .excluded_data_centres = excluded},
                          now);
   if (choice.relay || !choice.data_centre.empty()) return choice;
   // No other data centre has a replica: use another replica in the last one.
   if (is_last_usable) {
     return {.relay = shard.last_relay,
-            .data_centre = shard.queried_data_centres.back()};
+            .data_centre = shard.queried_data_centres.back().name};
   }
   return {};
 }
@@ -51,8 +76,8 @@
   Shard& shard = shards_[index];
   const Service& service = *route().services[index];
   shard.last_relay = std::move(choice.relay);
-  shard.queried_data_centres.push_back(choice.data_centre);
-  std::erase(shard.declined_data_centres, choice.data_centre);
+  shard.queried_data_centres.push_back({.name = choice.data_centre});
+  SetState(shard, choice.data_centre, QueriedDataCentre::State::kQueried);
   auto request = std::find_if(relay_requests_.begin(), relay_requests_.end(),
                               [&](const RelayRequest& other) {
                                 return other.relay == shard.last_relay;
@@ -133,7 +158,7 @@
   if (cause == kCauseNoBudget) ++denied_extra_attempts_;
   ++shard.declined_attempts;
   if (cause == kCauseBetterElsewhere) {
-    shard.declined_data_centres.push_back(declined.data_centre);
+    SetState(shard, declined.data_centre, QueriedDataCentre::State::kDeclined);
   }
   shard.was_relayed =
       shard.runs + shard.refusals > 0 || !shard.in_flight.empty();
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -220,7 +220,7 @@
   }
   shard.tried.push_back(upstream);
   shard.last_relay = nullptr;
-  shard.queried_data_centres.push_back(data_centre);
+  AddDirectQuery(shard, data_centre);
   const AttemptPtr attempt = MakeShardAttempt(index, kind);
   shard.in_flight.push_back({.attempt = attempt, .upstream = upstream});
   upstream->Submit(attempt);
@@ -323,12 +323,10 @@
   if (result.end == AttemptEnd::kRefused) ++shard.refusals;
   if (!shard.in_flight.empty()) return;
   // Replicas whose relays declined have not been queried.
-  std::erase_if(shard.queried_data_centres, [&](const std::string& queried) {
-    return std::find(shard.declined_data_centres.begin(),
-                     shard.declined_data_centres.end(),
-                     queried) != shard.declined_data_centres.end();
-  });
-  shard.declined_data_centres.clear();
+  std::erase_if(shard.queried_data_centres,
+                [](const QueriedDataCentre& queried) {
+                  return queried.state == QueriedDataCentre::State::kDeclined;
+                });
   if (CanRetry(shard) && StartAttempt(index, AttemptKind::kRetry, now)) {
     ++retries_;
     return;
--- a/lacewingknot/edge/scatter_session.h
+++ b/lacewingknot/edge/scatter_session.h
@@ -44,14 +44,22 @@
     std::string data_centre;  // Of the relay; empty for any.
   };
 
+  // A data centre to which an attempt at a shard went.
+  struct QueriedDataCentre {
+    enum class State { kQueried, kDeclined };
+
+    std::string name;
+    // kDeclined if its relay declined the latest attempt delegated there.
+    State state = State::kQueried;
+  };
+
   struct Shard {
     ShardState state = ShardState::kPending;
     // The relay of the latest attempt; null if that attempt was direct.
     RelayLinkPtr last_relay;
-    // Data centres whose replicas were queried, the latest one last.
-    std::vector<std::string> queried_data_centres;
-    // Those of them whose relays declined the attempt.
-    std::vector<std::string> declined_data_centres;
+    // One entry per attempt, the latest one last. Entries of the same data
+    // centre have the same state.
+    std::vector<QueriedDataCentre> queried_data_centres;
     // The only relay that may deliver the shard's part within a batch.
     RelayLinkPtr batch_relay;
     int declined_attempts = 0;  // Attempts that relays did not make.
@@ -118,6 +126,12 @@
   // Delegates an attempt to `choice.relay`; SendRelayRequests() sends it.
   void DelegateToRelay(std::size_t index, AttemptKind kind,
                        RelayTable::Choice choice, TimePoint now);
+  // Sets the state of the entries of `data_centre`.
+  static void SetState(Shard& shard, std::string_view data_centre,
+                       QueriedDataCentre::State state);
+  // Adds an entry for a direct attempt, which does not change what the relay
+  // there has said.
+  static void AddDirectQuery(Shard& shard, const std::string& data_centre);
   // Chooses a relay in a data centre not queried yet, or else the last relay
   // for another replica.
   RelayTable::Choice ChooseAnotherRelay(std::size_t index, TimePoint now) const;
