Concurrency limit: daemons that see the same times no longer move together

Probes after a successful one followed at a fixed interval, and all daemons changed their limits in the same round. With identical times, up to 0.39 of 500 daemons probed within 25 ms, and their mean limit varied by up to 0.155 of the slots.

The time before each probe is now drawn from a hash of the seed and the number of the probe (150 to 350 ms, 1.2 to 2 s), and daemons differ in the least share of throughput over time and in the delay of a new limit.

--- a/lacewingknot/policy/concurrency_limit.cc
+++ b/lacewingknot/policy/concurrency_limit.cc
@@ -41,30 +41,42 @@
 // An upstream that answered nothing for this multiple of the expected time had
 // paused. Answers of a busy upstream follow each other sooner.
 constexpr double kPauseFactor = 4;
-// How long the estimate must suggest a lower or a higher limit. Slowdowns of
-// 600 ms end before the first.
+// How long the estimate must suggest a lower or a higher limit, and the part
+// of it by which daemons exceed it. Slowdowns of 600 ms end before the first.
 constexpr Duration kLowerDelay = std::chrono::seconds(1);
 constexpr Duration kRaiseDelay = std::chrono::milliseconds(300);
+constexpr double kDelaySpread = 1;
 // A raise that the next samples refute within this time is undone sooner.
 constexpr Duration kUndoTime = std::chrono::seconds(4);
 constexpr Duration kUndoDelay = std::chrono::milliseconds(300);
 // A depth is within the limit if its ratio of throughput to time is at least
 // this share of the best one at a lower depth. The gap keeps the limit from
-// alternating between two depths.
+// alternating between two depths. The shares of daemons differ by the spreads:
+// with the same share for all, the mean limit of 500 daemons that saw the same
+// times varied by 0.15 of the slots.
 constexpr double kStayShare = 0.8;
+constexpr double kStayShareSpread = 0.1;
 constexpr double kRaiseShare = 0.95;
-// Least time between probes, and the part of it by which daemons differ.
+constexpr double kRaiseShareSpread = 0.05;
+// Least time between probes, and the time by which it varies.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(1'200);
 constexpr Duration kProbeSpread = std::chrono::milliseconds(800);
-// Time between probes after one that was faster than expected, and how many in
-// succession that were not end this.
+// The same after a probe that was faster than expected, and how many in
+// succession that were not end this. Without the spread, 0.39 of 500 daemons
+// that saw the same times probed within 25 ms.
 constexpr Duration kFastProbeInterval = std::chrono::milliseconds(150);
+constexpr Duration kFastProbeSpread = std::chrono::milliseconds(200);
 constexpr int kMaxFailedProbes = 2;
 // A busy upstream whose requests take more than this multiple of the usual time
 // is slow, or has too many. If it gets no request at half of its limit or less
 // for the time between probes, a dip of this many such requests tells which.
 constexpr double kMinDipMultiple = 1.25;
 constexpr int kDipSamples = 4;
+// Salts of the numbers that a daemon keeps; those of its probes count up from
+// zero.
+constexpr std::uint64_t kIntervalSalt = ~std::uint64_t{0};
+constexpr std::uint64_t kShareSalt = ~std::uint64_t{1};
+constexpr std::uint64_t kDelaySalt = ~std::uint64_t{2};
 // Growth of the expected time with each request in flight, even if none was
 // observed: it spreads requests over replicas that are equal otherwise.
 constexpr double kSpreadCost = 0.05;
@@ -154,7 +166,10 @@
 
 void ConcurrencyLimit::OnSent(std::int64_t depth, TimePoint now) {
   if (depth <= 1) busy_since_ = now;
-  if (depth > limit_) sent_above_limit_at_ = now;
+  if (depth > limit_) {
+    sent_above_limit_at_ = now;
+    ++probes_;
+  }
   if (depth > LowDepth()) return;
   // A dip ends with its last sample; other low samples put it off.
   if (!IsDipDue(now) || ++dip_samples_ >= kDipSamples) {
@@ -230,24 +245,32 @@
                                 std::log(kMinDipMultiple);
 }
 
+double ConcurrencyLimit::Fraction(std::uint64_t salt) const {
+  // SplitMix64, so that consecutive seeds and salts give unrelated numbers.
+  std::uint64_t hash = options_.seed + (salt + 1) * 0x9e3779b97f4a7c15U;
+  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9U;
+  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebU;
+  hash ^= hash >> 31;
+  return static_cast<double>(hash >> 11) * 0x1.0p-53;
+}
+
 Duration ConcurrencyLimit::ProbeInterval() const {
-  // The fractional part of a multiple of the golden ratio is spread evenly also
-  // over consecutive seeds.
-  constexpr double kGoldenRatio = 0.6180339887498949;
-  const double position = std::fmod(
-      static_cast<double>(options_.seed % 1'000'003) * kGoldenRatio, 1.0);
-  return kProbeInterval +
-         std::chrono::duration_cast<Duration>(kProbeSpread * position);
+  return kProbeInterval + std::chrono::duration_cast<Duration>(
+                              kProbeSpread * Fraction(kIntervalSalt));
+}
+
+Duration ConcurrencyLimit::NextProbeInterval() const {
+  const bool is_fast = failed_probes_ < kMaxFailedProbes;
+  return (is_fast ? kFastProbeInterval : kProbeInterval) +
+         std::chrono::duration_cast<Duration>(
+             (is_fast ? kFastProbeSpread : kProbeSpread) * Fraction(probes_));
 }
 
 std::int64_t ConcurrencyLimit::Limit(TimePoint now) const {
   if (now - last_heard_ > kMaxAge) return slots_;
   if (IsDipDue(now)) return LowDepth();
   const bool is_probe_due =
-      limit_ < slots_ &&
-      now - sent_above_limit_at_ > (failed_probes_ < kMaxFailedProbes
-                                        ? kFastProbeInterval
-                                        : ProbeInterval());
+      limit_ < slots_ && now - sent_above_limit_at_ > NextProbeInterval();
   return is_probe_due ? limit_ + 1 : limit_;
 }
 
@@ -293,6 +316,12 @@
   return slowdowns;
 }
 
+double ConcurrencyLimit::LeastShare(bool is_above_limit) const {
+  const double offset = Fraction(kShareSalt) - 0.5;
+  return is_above_limit ? kRaiseShare + kRaiseShareSpread * offset
+                        : kStayShare + kStayShareSpread * offset;
+}
+
 std::int64_t ConcurrencyLimit::Candidate(TimePoint now) const {
   std::int64_t limit = 1;
   double best = 0;
@@ -309,7 +338,7 @@
     }
     const auto depth = static_cast<double>(DepthOf(i));
     const double ratio = depth * (1 - refused) * std::exp(-2 * slowdowns[i]);
-    if (ratio < (is_above ? kRaiseShare : kStayShare) * best) break;
+    if (ratio < LeastShare(is_above) * best) break;
     best = std::max(best, ratio);
     limit = DepthOf(i);
   }
@@ -326,7 +355,11 @@
   if (side == 0) return;
   const Duration lower_delay =
       now - raised_at_ < kUndoTime ? kUndoDelay : kLowerDelay;
-  if (now - candidate_since_ < (side < 0 ? lower_delay : kRaiseDelay)) return;
+  const double factor = 1 + kDelaySpread * Fraction(kDelaySalt);
+  if (now - candidate_since_ <
+      (side < 0 ? lower_delay : kRaiseDelay) * factor) {
+    return;
+  }
   (side < 0 ? sent_above_limit_at_ : raised_at_) = now;
   // Raised by steps, each of which may show that the estimate was too good.
   limit_ = std::min(candidate, limit_ + std::max<std::int64_t>(limit_ / 4, 1));
--- a/lacewingknot/policy/concurrency_limit.h
+++ b/lacewingknot/policy/concurrency_limit.h
@@ -21,6 +21,10 @@
 // half of its limit from time to time, which show whether its depth is the
 // cause.
 //
+// Daemons that see the same times would probe, lower and raise together. The
+// time before each probe, and for each daemon the evidence and the time that a
+// new limit takes, are therefore spread by a hash of the seed.
+//
 // Requests that waited for an upstream that answered nothing at all for several
 // times the usual time say nothing about its depth: during a pause the depth
 // grows because of the pause.
@@ -48,7 +52,7 @@
 class ConcurrencyLimit {
  public:
   struct Options {
-    // Spreads the probes of daemons that see the same signal.
+    // Spreads probes and new limits of daemons that see the same signal.
     std::uint64_t seed = 0;
   };
   // A request that has ended.
@@ -110,8 +114,12 @@
   // Changes the slow-down of a level by `delta`.
   void Adjust(std::size_t level, double delta);
   void AdjustSpeed(double delta, TimePoint now);
-  // Time between probes that do not improve.
+  // Returns a number from 0 to 1 that differs by daemon and `salt`.
+  double Fraction(std::uint64_t salt) const;
+  // Time between dips, and between probes that do not improve.
   Duration ProbeInterval() const;
+  // Time from the latest probe to the next one.
+  Duration NextProbeInterval() const;
   // The depth of dips.
   std::int64_t LowDepth() const;
   // Whether samples of low depths are needed.
@@ -121,6 +129,9 @@
   // Returns the logarithms of the times of the levels against the lowest known
   // one. They do not fall with the depth.
   std::vector<double> FitSlowdowns(TimePoint now) const;
+  // Returns the share of the best ratio of throughput to time that a depth must
+  // reach to be within the limit.
+  double LeastShare(bool is_above_limit) const;
   // Returns the limit that the estimate suggests now.
   std::int64_t Candidate(TimePoint now) const;
   void UpdateLimit(TimePoint now);
@@ -136,6 +147,7 @@
   TimePoint pause_ended_at_{};  // Samples sent before are not of the depth.
   TimePoint sent_above_limit_at_{};
   TimePoint raised_at_{};
+  std::uint64_t probes_ = 0;
   int failed_probes_ = 0;    // Since one that was faster than expected.
   TimePoint sent_low_at_{};  // Last sample at a low depth, or end of a dip.
   int dip_samples_ = 0;      // In the present dip.
--- a/lacewingknot/policy/concurrency_limit_test.cc
+++ b/lacewingknot/policy/concurrency_limit_test.cc
@@ -220,7 +220,12 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     Simulation simulation({.knee = Constant(4), .seed = seed});
     const auto& limits = simulation.RunUntil(seconds(60));
-    // The ratio of throughput to time is within a fifth of the best at 4 and 5.
+    // Above the knee, the ratio of throughput to time is 4/n of the best, and
+    // daemons stop at 0.75 to 0.85 of it: at 4 or 5 requests. The same loss of
+    // a quarter below the knee allows 3. Part 6 of hard-load.md asks for a
+    // return within seconds, here the 2 s of the longest time between probes.
+    // The narrower bounds of the mean, and 6 as the upper bound, do not follow
+    // from this; they keep the limit as close as it was measured to be.
     EXPECT_GE(MeanLimit(limits, seconds(10), seconds(60)), 3.8);
     EXPECT_LE(MeanLimit(limits, seconds(10), seconds(60)), 5.2);
     const auto settled = std::vector(limits.begin() + 100, limits.end());
