Links between daemons: one function for their frames

The messages of relays and of the store's contents each had their own copy of the length prefix, its bounds and the handling of malformed messages. EncodeFrame and ExtractFrame in edge/internal/frame.h replace them; the bytes on the wire are unchanged.

--- a/lacewingknot/edge/contents_messages.cc
+++ b/lacewingknot/edge/contents_messages.cc
@@ -1,17 +1,16 @@
 #include "lacewingknot/edge/contents_messages.h"
 
 #include <algorithm>
-#include <exception>
 #include <msgpack.hpp>
 #include <tuple>
 #include <utility>
 
+#include "lacewingknot/edge/internal/frame.h"
 #include "lacewingknot/edge/internal/object_count.h"
 
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::size_t kLengthPrefixBytes = 4;
 // First element of each message. A new layout needs a new number; a peer of
 // another release closes the link.
 constexpr std::uint32_t kContentsVersion = 1;
@@ -153,47 +152,16 @@
   packer.pack_str_body(encoded_items.data(),
                        static_cast<std::uint32_t>(encoded_items.size()));
   if (bytes.size() > kMaxContentsFrameBytes) return {};
-  std::string frame;
-  frame.reserve(kLengthPrefixBytes + bytes.size());
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    frame +=
-        static_cast<char>(bytes.size() >> (8 * (kLengthPrefixBytes - 1 - i)));
-  }
-  frame.append(bytes.data(), bytes.size());
-  return frame;
+  return internal::EncodeFrame({bytes.data(), bytes.size()});
 }
 
 Result<std::optional<ContentsMessage>> ExtractContentsFrame(
     std::string& received, std::size_t max_bytes) {
-  if (received.size() < kLengthPrefixBytes) {
-    return std::optional<ContentsMessage>();
-  }
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    length = (length << 8) | static_cast<unsigned char>(received[i]);
-  }
-  if (length > max_bytes) {
-    return Error{
-        ErrorType::kPeerProtocol,
-        "frame length " + std::to_string(length) + " exceeds the limit"};
-  }
-  if (received.size() < kLengthPrefixBytes + length) {
-    return std::optional<ContentsMessage>();
-  }
-  const std::string_view body(received.data() + kLengthPrefixBytes, length);
-  if (internal::HasMoreObjects(body, kMaxMessageObjects)) {
-    return Error{ErrorType::kPeerProtocol,
-                 "more objects than a message can have"};
-  }
-  try {
-    const auto handle = msgpack::unpack(body.data(), body.size());
-    std::optional<ContentsMessage> message =
-        ParseMessage(handle.get().as<WireMessage>());
-    received.erase(0, kLengthPrefixBytes + length);
-    return message;
-  } catch (const std::exception& error) {
-    return Error{ErrorType::kPeerProtocol, error.what()};
-  }
+  return internal::ExtractFrame<ContentsMessage>(
+      received, {.max_bytes = max_bytes, .max_objects = kMaxMessageObjects},
+      [](const msgpack::object& object) {
+        return ParseMessage(object.as<WireMessage>());
+      });
 }
 
 }  // namespace lacewingknot::edge
--- a/lacewingknot/edge/relay_messages.cc
+++ b/lacewingknot/edge/relay_messages.cc
@@ -2,18 +2,16 @@
 
 #include <algorithm>
 #include <array>
-#include <exception>
 #include <msgpack.hpp>
 #include <tuple>
 #include <utility>
 
-#include "lacewingknot/edge/internal/object_count.h"
+#include "lacewingknot/edge/internal/frame.h"
 #include "lacewingknot/edge/internal/statement_codec.h"
 
 namespace lacewingknot::edge {
 namespace {
 
-constexpr std::size_t kLengthPrefixBytes = 4;
 // Rejects peers of another protocol: valid frames are far shorter.
 constexpr std::size_t kMaxFrameBytes = 16 << 20;
 // More than the upstreams of all shards of a query.
@@ -188,45 +186,13 @@
 std::string EncodeRelayFrame(const RelayMessage& message) {
   msgpack::sbuffer bytes;
   std::visit(Packer{bytes}, message);
-  std::string frame;
-  frame.reserve(kLengthPrefixBytes + bytes.size());
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    frame +=
-        static_cast<char>(bytes.size() >> (8 * (kLengthPrefixBytes - 1 - i)));
-  }
-  frame.append(bytes.data(), bytes.size());
-  return frame;
+  return internal::EncodeFrame({bytes.data(), bytes.size()});
 }
 
 Result<std::optional<RelayMessage>> ExtractRelayFrame(std::string& received) {
-  if (received.size() < kLengthPrefixBytes) {
-    return std::optional<RelayMessage>();
-  }
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    length = (length << 8) | static_cast<unsigned char>(received[i]);
-  }
-  if (length > kMaxFrameBytes) {
-    return Error{
-        ErrorType::kPeerProtocol,
-        "frame length " + std::to_string(length) + " exceeds the limit"};
-  }
-  if (received.size() < kLengthPrefixBytes + length) {
-    return std::optional<RelayMessage>();
-  }
-  const std::string_view body(received.data() + kLengthPrefixBytes, length);
-  if (internal::HasMoreObjects(body, kMaxObjects)) {
-    return Error{ErrorType::kPeerProtocol,
-                 "more objects than a message can have"};
-  }
-  try {
-    const auto handle = msgpack::unpack(body.data(), body.size());
-    std::optional<RelayMessage> message = ParseMessage(handle.get());
-    received.erase(0, kLengthPrefixBytes + length);
-    return message;
-  } catch (const std::exception& error) {
-    return Error{ErrorType::kPeerProtocol, error.what()};
-  }
+  return internal::ExtractFrame<RelayMessage>(
+      received, {.max_bytes = kMaxFrameBytes, .max_objects = kMaxObjects},
+      ParseMessage);
 }
 
 std::string_view InternCause(std::string_view cause) {
