Teams share short capacity: fair shares, turns in wait queues, admission

A team at several times its rate took capacity from all others, because wait queues and admission did not know teams. Requests of one priority now take turns by team, ranked by recent turns, and refusals by admission fall first on teams beyond their max-min share; no team gets less than 0.3 of the overall share. Without teams nothing changes.

--- a/lacewingknot/policy/mechanisms.cc
+++ b/lacewingknot/policy/mechanisms.cc
@@ -6,7 +6,7 @@
 namespace lacewingknot {
 namespace {
 
-constexpr std::array<MechanismInfo, 17> kMechanisms{{
+constexpr std::array<MechanismInfo, 18> kMechanisms{{
     {Mechanism::kAdmission, "admission",
      "a part of the queries is refused at once while many fail by overload"},
     {Mechanism::kBackoff, "backoff",
@@ -39,6 +39,8 @@
      "daemons tell each other what upstreams say of themselves"},
     {Mechanism::kSuspicion, "suspicion",
      "upstreams with an overdue request in flight are chosen less often"},
+    {Mechanism::kTeamFairness, "team_fairness",
+     "teams share capacity that is short; those that ask for most lose first"},
     {Mechanism::kUrgentHedgesFirst, "urgent_hedges_first",
      "hedges of urgent queries may use more of the extra attempts"},
 }};
--- a/lacewingknot/policy/mechanisms.h
+++ b/lacewingknot/policy/mechanisms.h
@@ -41,6 +41,7 @@
   kSlownessEstimate,
   kStatementExchange,
   kSuspicion,
+  kTeamFairness,
   kUrgentHedgesFirst,
 };
 
--- a/lacewingknot/policy/query_admission_test.cc
+++ b/lacewingknot/policy/query_admission_test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
+#include <string>
 #include <vector>
 
 namespace lacewingknot {
@@ -127,5 +129,68 @@
   EXPECT_GT(after.refused, 0);
 }
 
+// Replays 60 s of 75 quiet teams and one at 7.5 times their rate, `per_second`
+// each; `served` queries a second are served, the others fail by overload.
+struct TeamAdmissionReplay {
+  TeamAdmissionReplay(double per_second, double served, bool has_teams) {
+    std::mt19937 random(3);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    QueryAdmission admission;
+    double left = 0;
+    for (TimePoint now = kStart; now < kStart + seconds(60);
+         now += milliseconds(1)) {
+      left = std::min(left + served / 1'000, 3.0);
+      for (int team = 0; team <= 75; ++team) {
+        const bool is_hot = team == 75;
+        if (uniform(random) >= per_second * (is_hot ? 7.5 : 1) / 1'000) {
+          continue;
+        }
+        ++(is_hot ? hot : quiet);
+        if (!admission.Admit(now, has_teams ? std::to_string(team) : "")) {
+          ++(is_hot ? hot_refused : quiet_refused);
+          continue;
+        }
+        const bool is_served = left >= 1;
+        if (is_served) left -= 1;
+        admission.OnEnded(
+            is_served ? QueryOutcome::kServed : QueryOutcome::kOverloaded, now);
+      }
+    }
+  }
+
+  double hot = 0;
+  double quiet = 0;
+  double hot_refused = 0;
+  double quiet_refused = 0;
+};
+
+// Refusals by arrival alone would fall on the quiet teams for the most part.
+TEST(QueryAdmissionReplayTest, HotTeam_MildOverload_IsRefusedFirst) {
+  for (const double per_second : {0.5, 2.0}) {
+    const double served = 82.5 * per_second * 0.63;
+    const TeamAdmissionReplay before(per_second, served, false);
+    const TeamAdmissionReplay after(per_second, served, true);
+    EXPECT_NEAR(after.hot_refused + after.quiet_refused,
+                before.hot_refused + before.quiet_refused,
+                0.1 * (before.hot_refused + before.quiet_refused) + 8);
+    const double all_refused = after.hot_refused + after.quiet_refused;
+    EXPECT_GT(after.hot_refused, 2 * before.hot_refused);
+    EXPECT_LT(after.quiet_refused, before.quiet_refused * 0.6);
+    EXPECT_GE(after.hot - after.hot_refused,
+              0.25 * after.hot * (1 - all_refused / (after.hot + after.quiet)));
+  }
+}
+
+TEST(QueryAdmissionReplayTest, HotTeam_HeavyOverload_NoTeamIsStarved) {
+  const TeamAdmissionReplay before(2, 50, false);
+  const TeamAdmissionReplay after(2, 50, true);
+  const double refused = after.hot_refused + after.quiet_refused;
+  EXPECT_NEAR(refused, before.hot_refused + before.quiet_refused,
+              0.1 * refused);
+  const double admitted = 1 - refused / (after.hot + after.quiet);
+  EXPECT_GE(1 - after.hot_refused / after.hot, 0.25 * admitted);
+  EXPECT_GT(1 - after.quiet_refused / after.quiet, admitted);
+}
+
 }  // namespace
 }  // namespace lacewingknot
