--- a/lacewingknot/base/event_log.cc
+++ b/lacewingknot/base/event_log.cc
@@ -116,6 +116,7 @@
               Level::kInfo},
     EventInfo{Event::kQuotaContactChanged, "quota_contact_changed",
               Level::kWarning},
+    EventInfo{Event::kTeamExceedsShare, "team_exceeds_share", Level::kInfo},
     EventInfo{Event::kFleetSizeChanged, "fleet_size_changed", Level::kInfo},
     EventInfo{Event::kRelayConnected, "relay_connected", Level::kInfo},
     EventInfo{Event::kRelayLost, "relay_lost", Level::kInfo},
--- a/lacewingknot/base/event_log.h
+++ b/lacewingknot/base/event_log.h
@@ -99,6 +99,7 @@
   kQuotaFallback = 1321,
   kQuotaKeeperReplaced = 1322,
   kQuotaContactChanged = 1323,
+  kTeamExceedsShare = 1325,
   kPeerUnreachable = 1401,
   kPeerProtocolMismatch = 1402,
   kPeerMessageMalformed = 1403,
--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -139,6 +139,22 @@
             {"unlogged", std::exchange(unlogged_limit_changes_, 0)}});
 }
 
+void EdgeCore::OnFairnessRefusal(std::string_view team, std::string_view where,
+                                 std::string_view name) {
+  options_.metrics->OnFairnessRefusal(where);
+  const TimePoint now = BootClock::now();
+  if (now - fairness_refusal_logged_at_ < kLimitLogInterval) {
+    ++unlogged_fairness_refusals_;
+    return;
+  }
+  fairness_refusal_logged_at_ = now;
+  LogEvent(Event::kTeamExceedsShare,
+           {{"team", team},
+            {"where", where},
+            {"name", name},
+            {"unlogged", std::exchange(unlogged_fairness_refusals_, 0)}});
+}
+
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
   ServicePtr& service = services_[name];
   if (service) return service;
@@ -153,9 +169,14 @@
       .started_at = options_.started_at,
       .vm = options_.vm,
       .choice = choice,
-      .on_withheld = [metrics = options_.metrics](GateDecision reason) {
-        metrics->OnReplicaPassedOver(GateDecisionName(reason));
-      }});
+      .on_withheld =
+          [metrics = options_.metrics](GateDecision reason) {
+            metrics->OnReplicaPassedOver(GateDecisionName(reason));
+          },
+      .on_fairness_refusal =
+          [this, name](std::string_view team) {
+            OnFairnessRefusal(team, "queue", name);
+          }});
   ApplyShares(*service);
   return service;
 }
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -156,6 +156,10 @@
   TimePoint final_deadline() const { return final_deadline_; }
 
   void OnUpstreamsLacking() const { options_.on_upstreams_lacking(); }
+  // A request was refused because `team` exceeds its fair share, by "admission"
+  // to the route `name` or in the "queue" of the service `name`.
+  void OnFairnessRefusal(std::string_view team, std::string_view where,
+                         std::string_view name);
   // Enforces quotas from now on, as Options::quota_bounds does.
   void EnforceQuotas(const QuotaBounds& bounds);
   // Null if no quotas are enforced.
@@ -250,6 +254,8 @@
   std::size_t unlogged_dropped_answers_ = 0;
   TimePoint limit_change_logged_at_{};
   std::size_t unlogged_limit_changes_ = 0;
+  TimePoint fairness_refusal_logged_at_{};
+  std::int64_t unlogged_fairness_refusals_ = 0;
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
--- a/lacewingknot/edge/edge_metrics.cc
+++ b/lacewingknot/edge/edge_metrics.cc
@@ -92,6 +92,12 @@
                  .Help("Requests and shards that found all replicas withheld, "
                        "by outcome.")
                  .Register(*registry_)),
+      fairness_refusals_(
+          prometheus::BuildCounter()
+              .Name("lacewingknot_edge_fairness_refusals_total")
+              .Help("Requests refused because their team exceeds its fair "
+                    "share, by place.")
+              .Register(*registry_)),
       answers_dropped_(
           prometheus::BuildCounter()
               .Name("lacewingknot_edge_answers_dropped_total")
@@ -287,6 +293,10 @@
   waits_.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void EdgeMetrics::OnFairnessRefusal(std::string_view where) {
+  fairness_refusals_.Add({{"where", std::string(where)}}).Increment();
+}
+
 void EdgeMetrics::OnAnswerDropped(std::string_view cause) {
   answers_dropped_.Add({{"reason", std::string(cause)}}).Increment();
 }
--- a/lacewingknot/edge/edge_metrics.h
+++ b/lacewingknot/edge/edge_metrics.h
@@ -61,6 +61,10 @@
   // All replicas withheld themselves from a request or shard: it "waits", or
   // waiting would take it "too_late".
   void OnWait(std::string_view outcome);
+  // A request was refused although a request of another team would not have
+  // been, because its team exceeds its fair share: by "admission" or in a
+  // "queue".
+  void OnFairnessRefusal(std::string_view where);
   // An answer was dropped because of its size, for `cause`.
   void OnAnswerDropped(std::string_view cause);
   void OnUpstreamHealthChange(std::string_view health);
@@ -130,6 +134,7 @@
   prometheus::Counter& malformed_statements_;
   prometheus::Family<prometheus::Counter>& statement_reports_;
   prometheus::Family<prometheus::Counter>& waits_;
+  prometheus::Family<prometheus::Counter>& fairness_refusals_;
   prometheus::Family<prometheus::Counter>& answers_dropped_;
   prometheus::Family<prometheus::Counter>& health_changes_;
   prometheus::Family<prometheus::Counter>& store_calls_;
--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -45,6 +45,7 @@
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   waiting_ = service_->waiting().Add(
       {.priority = priority(),
+       .team = std::string(sharing_team()),
        .latest_start = end - service_->mean_latency(),
        .start = [self,
                  kind](TimePoint turn) { return self->OnTurn(kind, turn); },
@@ -197,7 +198,7 @@
   const TimePoint now = BootClock::now();
   const Duration retry_after =
       service_->WithheldUntil(now)
-          ? service_->waiting().RetryAfter(priority(), now)
+          ? service_->waiting().RetryAfter(priority(), sharing_team(), now)
           : kRefusalRetryAfter;
   Finish({.status = kStatusUnavailable, .retry_after = retry_after}, "refused",
          cause);
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -130,6 +130,14 @@
     return team() == nullptr ? spec().priority
                              : team()->priority.value_or(spec().priority);
   }
+  // The team among those that share capacity that is short; empty if there is
+  // none or they do not.
+  std::string_view sharing_team() const {
+    if (team() == nullptr || !core().is_enabled(Mechanism::kTeamFairness)) {
+      return {};
+    }
+    return team()->name;
+  }
   const OutboundRequest& outbound() const { return *outbound_; }
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -92,7 +92,7 @@
   }
   query_number_ = core().NextQueryNumber();
   if (core().is_enabled(Mechanism::kAdmission) &&
-      !route().admission->Admit(now)) {
+      !route().admission->Admit(now, sharing_team())) {
     RefuseByAdmission();
     return;
   }
@@ -400,6 +400,10 @@
 }
 
 void ScatterSession::RefuseByAdmission() {
+  if (!sharing_team().empty() &&
+      route().admission->ExceedsFairShare(sharing_team())) {
+    core().OnFairnessRefusal(sharing_team(), "admission", spec().name);
+  }
   // Spread over the interval, so that the callers do not return together.
   constexpr std::uint64_t kSteps = 8;
   const Duration retry_after =
--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -55,6 +55,7 @@
   shard.cause = kCauseWithheld;
   shard.waiting = service.waiting().Add(
       {.priority = priority(),
+       .team = std::string(sharing_team()),
        .latest_start = soft_deadline_ - route().latency_stats->mean_latency(),
        .start = [self,
                  index](TimePoint turn) { return self->OnTurn(index, turn); },
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -29,11 +29,11 @@
       vm_hash_(XXH3_64bits(options_.vm.data(), options_.vm.size())),
       relay_group_(RelayRanking::GroupOf(options_.name)),
       extra_load_budget_(options_.extra_load, options_.started_at),
-      waiting_(
-          {.timers = options_.timers,
-           .withheld_until =
-               [this](TimePoint now) { return WithheldUntil(now); },
-           .pass_rate = [this](TimePoint time) { return PassRate(time); }}) {}
+      waiting_({.timers = options_.timers,
+                .withheld_until =
+                    [this](TimePoint now) { return WithheldUntil(now); },
+                .pass_rate = [this](TimePoint time) { return PassRate(time); },
+                .on_fairness_refusal = options_.on_fairness_refusal}) {}
 
 void Service::Add(UpstreamPtr upstream) {
   auto& limiter = cold_rate_limiters_[upstream->record().id];
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -48,6 +48,8 @@
     ReplicaChoiceOptions choice;
     // Called when a replica is passed over because of what it says of itself.
     std::function<void(GateDecision reason)> on_withheld;
+    // Called when a request is not queued because of its team's turns.
+    std::function<void(std::string_view team)> on_fairness_refusal;
   };
 
   explicit Service(Options options);
--- a/lacewingknot/edge/waiting_requests.cc
+++ b/lacewingknot/edge/waiting_requests.cc
@@ -17,24 +17,43 @@
 
 }  // namespace
 
+double WaitingRequests::PassRate(TimePoint opens_at) const {
+  return std::max(options_.pass_rate(opens_at), kMinPassRate);
+}
+
 TimePoint WaitingRequests::ExpectedStart(std::int64_t priority,
+                                         std::string_view team,
                                          TimePoint now) const {
   const TimePoint opens_at = options_.withheld_until(now).value_or(now);
-  return queue_.ExpectedStart(
-      priority, opens_at, std::max(options_.pass_rate(opens_at), kMinPassRate));
+  return queue_.ExpectedStart(priority, opens_at, PassRate(opens_at), team);
 }
 
 Duration WaitingRequests::RetryAfter(std::int64_t priority,
+                                     std::string_view team,
                                      TimePoint now) const {
-  return std::max(ExpectedStart(priority, now) - now, kMinRetryAfter);
+  return std::max(ExpectedStart(priority, team, now) - now, kMinRetryAfter);
+}
+
+void WaitingRequests::ReportRefusal(const Request& request,
+                                    TimePoint now) const {
+  if (request.team.empty() || !options_.on_fairness_refusal) return;
+  const TimePoint opens_at = options_.withheld_until(now).value_or(now);
+  if (queue_.ExpectedStartInArrivalOrder(request.priority, opens_at,
+                                         PassRate(opens_at)) <=
+      request.latest_start) {
+    options_.on_fairness_refusal(request.team);
+  }
 }
 
 std::optional<WaitingRequests::Id> WaitingRequests::Add(Request request,
                                                         TimePoint now) {
-  if (ExpectedStart(request.priority, now) > request.latest_start) {
+  if (ExpectedStart(request.priority, request.team, now) >
+      request.latest_start) {
+    queue_.OnRefused(request.priority, request.team);
+    ReportRefusal(request, now);
     return std::nullopt;
   }
-  const Id id = queue_.Add(request.priority);
+  const Id id = queue_.Add(request.priority, request.team);
   requests_.emplace(id, std::move(request));
   Schedule(now);
   return id;
