--- a/lacewingknot/edge/pass_session.cc
+++ b/lacewingknot/edge/pass_session.cc
@@ -37,6 +37,7 @@
   const auto self = std::static_pointer_cast<PassSession>(shared_from_this());
   waiting_ = service_->waiting().Add(
       {.priority = priority(),
+       .team = std::string(sharing_team()),
        .latest_start =
            LatestStartOfSingle(*service_, spec(), started_at(), deadline()),
        .start = [self,
@@ -188,8 +189,8 @@
 
 void PassSession::Refuse(std::string_view cause) {
   Finish({.status = kStatusUnavailable,
-          .retry_after =
-              SingleRetryAfter(*service_, priority(), BootClock::now())},
+          .retry_after = SingleRetryAfter(*service_, priority(), sharing_team(),
+                                          BootClock::now())},
          "refused", cause);
 }
 
--- a/lacewingknot/edge/request_decisions.cc
+++ b/lacewingknot/edge/request_decisions.cc
@@ -82,6 +82,11 @@
          team->rate_per_second > 0;
 }
 
+std::string_view SharingTeamOf(const EdgeCore& core, const Team* team) {
+  if (team == nullptr || !core.is_enabled(Mechanism::kTeamFairness)) return {};
+  return team->name;
+}
+
 std::int64_t PriorityOf(const RouteSpec& spec, const Team* team) {
   return team == nullptr ? spec.priority
                          : team->priority.value_or(spec.priority);
@@ -108,9 +113,9 @@
 }
 
 Duration SingleRetryAfter(const Service& service, std::int64_t priority,
-                          TimePoint now) {
+                          std::string_view team, TimePoint now) {
   return service.WithheldUntil(now)
-             ? service.waiting().RetryAfter(priority, now)
+             ? service.waiting().RetryAfter(priority, team, now)
              : kSingleRetryAfter;
 }
 
--- a/lacewingknot/edge/request_decisions.h
+++ b/lacewingknot/edge/request_decisions.h
@@ -67,6 +67,9 @@
 
 // The team's priority, or else the route's. `team` may be null.
 std::int64_t PriorityOf(const RouteSpec& spec, const Team* team);
+// The team among those that share capacity that is short; empty if there is
+// none or they do not. `team` may be null; the view refers to it.
+std::string_view SharingTeamOf(const EdgeCore& core, const Team* team);
 
 // The latest time for an answer: the client's deadline or the route's timeout,
 // whichever is earlier, less a margin for the way back; earlier if the daemon
@@ -80,7 +83,7 @@
                               TimePoint started_at, TimePoint deadline);
 // Retry-After of a single request that no upstream of `service` took.
 Duration SingleRetryAfter(const Service& service, std::int64_t priority,
-                          TimePoint now);
+                          std::string_view team, TimePoint now);
 
 // Latest time at which the answer to a query meets the route's objective.
 TimePoint SoftDeadlineOfQuery(const EdgeCore& core, const BoundRoute& route,
--- a/lacewingknot/edge/request_explanation.cc
+++ b/lacewingknot/edge/request_explanation.cc
@@ -58,6 +58,7 @@
         route_(*access.route),
         now_(now),
         priority_(PriorityOf(spec(), access.team.team)),
+        sharing_team_(SharingTeamOf(core_, access.team.team)),
         deadline_(AnswerDeadline(core, spec(), std::nullopt, now)),
         query_number_(core.upcoming_query_number()) {}
 
@@ -73,8 +74,9 @@
     }
     Verdict& verdict = explanation.verdict;
     if (placement.placement == kNone) {
-      verdict = Refused(kStatusUnavailable, placement.cause,
-                        SingleRetryAfter(service, priority_, now_));
+      verdict =
+          Refused(kStatusUnavailable, placement.cause,
+                  SingleRetryAfter(service, priority_, sharing_team_, now_));
     } else if (placement.placement == kWaits) {
       verdict = {.outcome = "waits",
                  .cause = placement.cause,
@@ -91,8 +93,8 @@
     QueryAdmission admission = *route_.admission;  // Counts no refusal.
     explanation.admission = {
         .refused_share = admission.RefusedShare(now_),
-        .admits =
-            !core_.is_enabled(Mechanism::kAdmission) || admission.Admit(now_)};
+        .admits = !core_.is_enabled(Mechanism::kAdmission) ||
+                  admission.Admit(now_, sharing_team_)};
     PlaceShards(soft_deadline, explanation);
     Verdict& verdict = explanation.verdict;
     if (start.has_too_few_shards) {
@@ -133,7 +135,8 @@
           service.HasUsableUpstream() ? kCauseNotPlaceable : kCauseNoReplica;
     } else {
       placement.cause = kCauseWithheld;
-      const TimePoint start = service.waiting().ExpectedStart(priority_, now_);
+      const TimePoint start =
+          service.waiting().ExpectedStart(priority_, sharing_team_, now_);
       if (start <= latest_start) {
         placement.placement = kWaits;
         placement.starts_in_ms = ToMillis(start - now_);
@@ -271,6 +274,7 @@
   const BoundRoute& route_;
   TimePoint now_;
   std::int64_t priority_;
+  std::string_view sharing_team_;
   TimePoint deadline_;
   std::uint64_t query_number_;
 };
--- a/lacewingknot/edge/request_session.h
+++ b/lacewingknot/edge/request_session.h
@@ -128,6 +128,11 @@
   const Team* team() const { return options_.team.team; }
   // The team's priority, or else the route's.
   std::int64_t priority() const { return PriorityOf(spec(), team()); }
+  // The team among those that share capacity that is short; empty if there is
+  // none or they do not.
+  std::string_view sharing_team() const {
+    return SharingTeamOf(core(), team());
+  }
   const OutboundRequest& outbound() const { return *outbound_; }
   TimePoint started_at() const { return options_.started_at; }
   Duration client_round_trip() const { return options_.client_round_trip; }
--- a/lacewingknot/edge/scatter_session.cc
+++ b/lacewingknot/edge/scatter_session.cc
@@ -63,7 +63,7 @@
   }
   query_number_ = core().NextQueryNumber();
   if (core().is_enabled(Mechanism::kAdmission) &&
-      !route().admission->Admit(now)) {
+      !route().admission->Admit(now, sharing_team())) {
     RefuseByAdmission();
     return;
   }
@@ -363,6 +363,10 @@
 }
 
 void ScatterSession::RefuseByAdmission() {
+  if (!sharing_team().empty() &&
+      route().admission->ExceedsFairShare(sharing_team())) {
+    core().OnFairnessRefusal(sharing_team(), "admission", spec().name);
+  }
   Finish({.status = kStatusUnavailable,
           .retry_after = OverloadRetryAfter(query_number_)},
          "refused", kCauseOverload);
--- a/lacewingknot/edge/scatter_waiting.cc
+++ b/lacewingknot/edge/scatter_waiting.cc
@@ -33,6 +33,7 @@
   shard.cause = kCauseWithheld;
   shard.waiting = service.waiting().Add(
       {.priority = priority(),
+       .team = std::string(sharing_team()),
        .latest_start = LatestStartOfShard(route(), soft_deadline_),
        .start = [self,
                  index](TimePoint turn) { return self->OnTurn(index, turn); },
