--- a/lacewingknot/ctl/edge_commands.cc
+++ b/lacewingknot/ctl/edge_commands.cc
@@ -142,8 +142,8 @@
     const json& priority = team.at("priority");
     output.out << "priority "
                << (priority.is_null() ? "of the route" : priority.dump());
-    if (team.contains("rate_per_s")) {
-      output.out << ", rate " << team.at("rate_per_s") << "/s, burst "
+    if (team.contains("rate_per_second")) {
+      output.out << ", rate " << team.at("rate_per_second") << "/s, burst "
                  << team.at("burst");
     } else {
       output.out << ", no limit";
--- a/lacewingknot/edge/team_quotas_test.cc
+++ b/lacewingknot/edge/team_quotas_test.cc
@@ -93,10 +93,10 @@
   const std::string text = TeamsToJson(teams, &quotas_, BootClock::now());
   const auto report = nlohmann::json::parse(text);
   const auto& search = report.at("teams").at(0);
-  const nlohmann::json expected{{"name", "search"},  {"priority", 2},
-                                {"rate_per_s", 0.5}, {"burst", 1.0},
-                                {"admitted", 1},     {"refused", 1},
-                                {"keeper", "self"},  {"tokens_held", 0}};
+  const nlohmann::json expected{{"name", "search"},       {"priority", 2},
+                                {"rate_per_second", 0.5}, {"burst", 1.0},
+                                {"admitted", 1},          {"refused", 1},
+                                {"keeper", "self"},       {"tokens_held", 0}};
   EXPECT_EQ(search, expected);
   const nlohmann::json unlimited{{"name", "free"}, {"priority", nullptr}};
   EXPECT_EQ(report.at("teams").at(1), unlimited);
--- a/lacewingknot/edge/team_report.cc
+++ b/lacewingknot/edge/team_report.cc
@@ -15,7 +15,7 @@
     json entry{{"name", team.name}};
     entry["priority"] = team.priority ? json(*team.priority) : json();
     if (team.rate_per_second > 0) {
-      entry["rate_per_s"] = team.rate_per_second;
+      entry["rate_per_second"] = team.rate_per_second;
       entry["burst"] = team.burst;
     }
     if (team.rate_per_second > 0 && quotas != nullptr) {
