Edge: remove code that nothing calls; /teams asks the traffic thread as explanations do

Service::Choose() lost its last caller when single requests moved to ChooseForAttempt(). Behaviour is unchanged.

--- a/lacewingknot/edge/edge_daemon.cc
+++ b/lacewingknot/edge/edge_daemon.cc
@@ -370,15 +370,15 @@
   return status.dump() + "\n";
 }
 
-template <typename Explanation>
-std::optional<Explanation> EdgeDaemon::ExplainOnTrafficThread(
-    std::function<Explanation()> explain) {
+template <typename Answer>
+std::optional<Answer> EdgeDaemon::AskTrafficThread(
+    std::function<Answer()> compute) {
   // The traffic thread shares the promise, which outlives this call if that
   // thread is slow.
-  const auto promise = std::make_shared<std::promise<Explanation>>();
+  const auto promise = std::make_shared<std::promise<Answer>>();
   auto answer = promise->get_future();
-  RunOnTrafficThread([promise, explain = std::move(explain)] {
-    promise->set_value(explain());
+  RunOnTrafficThread([promise, compute = std::move(compute)] {
+    promise->set_value(compute());
   });
   if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
     return std::nullopt;
@@ -387,11 +387,10 @@
 }
 
 ControlReply EdgeDaemon::Explain(std::string_view service) {
-  const auto explanation =
-      ExplainOnTrafficThread<std::optional<ServiceExplanation>>(
-          [this, name = std::string(service)] {
-            return ExplainService(core_, name, BootClock::now());
-          });
+  const auto explanation = AskTrafficThread<std::optional<ServiceExplanation>>(
+      [this, name = std::string(service)] {
+        return ExplainService(core_, name, BootClock::now());
+      });
   if (!explanation) return TrafficThreadSlow();
   if (!*explanation) return {.status = 404, .body = "unknown service\n"};
   return {.content_type = "application/json", .body = ToJson(**explanation)};
@@ -404,7 +403,7 @@
     return {.status = 400,
             .body = "missing query parameter: ?host=HOST&path=PATH\n"};
   }
-  const auto explanation = ExplainOnTrafficThread<RequestExplanation>(
+  const auto explanation = AskTrafficThread<RequestExplanation>(
       [this, asked = RequestToExplain{.host = *host,
                                       .target = *path,
                                       .credentials = request.credentials}] {
@@ -415,19 +414,13 @@
 }
 
 ControlReply EdgeDaemon::Teams() {
-  // As in Explain().
-  const auto promise = std::make_shared<std::promise<std::string>>();
-  auto answer = promise->get_future();
-  RunOnTrafficThread([this, promise] {
+  const auto report = AskTrafficThread<std::string>([this] {
     const auto routes = core_.routes();
-    promise->set_value(
-        TeamsToJson(routes ? routes->table->teams() : TeamTable(),
-                    core_.team_quotas(), BootClock::now()));
+    return TeamsToJson(routes ? routes->table->teams() : TeamTable(),
+                       core_.team_quotas(), BootClock::now());
   });
-  if (answer.wait_for(kExplainTimeout) != std::future_status::ready) {
-    return {.status = 503, .body = "traffic thread did not respond in time\n"};
-  }
-  return {.content_type = "application/json", .body = answer.get()};
+  if (!report) return TrafficThreadSlow();
+  return {.content_type = "application/json", .body = *report};
 }
 
 void EdgeDaemon::Reload(const EdgeSettings& settings) {
--- a/lacewingknot/edge/edge_daemon.h
+++ b/lacewingknot/edge/edge_daemon.h
@@ -95,11 +95,10 @@
   std::string Status() const;
   ControlReply Explain(std::string_view service);
   ControlReply ExplainRequestOf(const ControlRequest& request);
-  // Runs `explain` on the traffic thread; empty if that does not respond in
+  // Runs `compute` on the traffic thread; empty if that does not respond in
   // time.
-  template <typename Explanation>
-  std::optional<Explanation> ExplainOnTrafficThread(
-      std::function<Explanation()> explain);
+  template <typename Answer>
+  std::optional<Answer> AskTrafficThread(std::function<Answer()> compute);
   ControlReply Teams();
   void RunOnTrafficThread(std::function<void()> run);
 
--- a/lacewingknot/edge/service.cc
+++ b/lacewingknot/edge/service.cc
@@ -225,11 +225,6 @@
   return Choose(criteria, now, effects);
 }
 
-UpstreamPtr Service::Choose(const ReplicaCriteria& criteria, TimePoint now) {
-  ChoiceEffects effects(*this, now);
-  return Choose(criteria, now, effects);
-}
-
 UpstreamPtr Service::ChooseForAttempt(AttemptKind kind,
                                       const ReplicaCriteria& criteria,
                                       TimePoint now) {
--- a/lacewingknot/edge/service.h
+++ b/lacewingknot/edge/service.h
@@ -103,14 +103,12 @@
     bool local_only = false;             // Only in this daemon's data centre.
     Duration mean_latency{};             // Mean latency of such a request.
   };
-  // Returns the upstream for one more attempt; null if there is none.
-  UpstreamPtr Choose(const ReplicaCriteria& criteria, TimePoint now);
-  // Returns the load of `upstream` as Choose() evaluates it.
+  // Returns the load of `upstream` as ChooseForAttempt() evaluates it.
   ReplicaLoad LoadOf(const Upstream& upstream, Duration mean_latency,
                      TimePoint now) const;
   const ReplicaChoiceOptions& choice() const { return options_.choice; }
-  // Like Choose(), but a first attempt falls back to replicas that are backing
-  // off if there is no other.
+  // Returns the upstream for one more attempt; null if there is none. A first
+  // attempt falls back to replicas that are backing off if there is no other.
   UpstreamPtr ChooseForAttempt(AttemptKind kind,
                                const ReplicaCriteria& criteria, TimePoint now);
 
@@ -181,6 +179,7 @@
   std::vector<UpstreamPtr> Candidates(const ReplicaCriteria& criteria,
                                       std::size_t subset_size, TimePoint now,
                                       Effects& effects) const;
+  // As ChooseForAttempt(), without the fallback.
   template <typename Effects>
   UpstreamPtr Choose(const ReplicaCriteria& criteria, TimePoint now,
                      Effects& effects) const;
--- a/lacewingknot/edge/team_quotas.cc
+++ b/lacewingknot/edge/team_quotas.cc
@@ -162,9 +162,7 @@
   // Last, because callbacks may acquire or give back tokens.
   for (const auto& outcome : client_.TakeOutcomes()) {
     const auto found = waiting_.find(outcome.request);
-    if (found == waiting_.end()) {
-      continue;
-    }
+    if (found == waiting_.end()) continue;
     const Waiting waiting = std::move(found->second);
     waiting_.erase(found);
     Decide(waiting.team, outcome, waiting.callback);
--- a/lacewingknot/edge/upstream.cc
+++ b/lacewingknot/edge/upstream.cc
@@ -5,8 +5,6 @@
 #include <utility>
 
 namespace lacewingknot::edge {
-namespace {}  // namespace
-
 Upstream::Upstream(Options options)
     : options_(std::move(options)),
       ramp_(options_.process_started_at),
