--- a/lacewingknot/edge/edge_core.cc
+++ b/lacewingknot/edge/edge_core.cc
@@ -108,51 +108,36 @@
 void EdgeCore::OnAnswerDropped(std::string_view from, std::string_view cause,
                                std::size_t bytes) {
   options_.metrics->OnAnswerDropped(cause);
-  const TimePoint now = BootClock::now();
-  if (now - answer_dropped_logged_at_ < kAnswerDroppedLogInterval) {
-    ++unlogged_dropped_answers_;
-    return;
-  }
-  answer_dropped_logged_at_ = now;
-  LogEvent(Event::kAnswerDropped,
-           {{"from", from},
-            {"cause", cause},
-            {"bytes", bytes},
-            {"held_bytes", answer_budget_->held_bytes()},
-            {"unlogged", std::exchange(unlogged_dropped_answers_, 0)}});
+  const auto unlogged = answer_dropped_log_.Admit(BootClock::now());
+  if (!unlogged) return;
+  LogEvent(Event::kAnswerDropped, {{"from", from},
+                                   {"cause", cause},
+                                   {"bytes", bytes},
+                                   {"held_bytes", answer_budget_->held_bytes()},
+                                   {"unlogged", *unlogged}});
 }
 
 void EdgeCore::OnLimitChange(const UpstreamRecord& about, std::int64_t from,
                              std::int64_t to) {
-  const TimePoint now = BootClock::now();
-  if (now - limit_change_logged_at_ < kLimitLogInterval) {
-    ++unlogged_limit_changes_;
-    return;
-  }
-  limit_change_logged_at_ = now;
-  LogEvent(Event::kConcurrencyLimitChanged,
-           {{"upstream", about.id},
-            {"service", about.service},
-            {"from", from},
-            {"to", to},
-            {"slots", about.slots},
-            {"unlogged", std::exchange(unlogged_limit_changes_, 0)}});
+  const auto unlogged = limit_change_log_.Admit(BootClock::now());
+  if (!unlogged) return;
+  LogEvent(Event::kConcurrencyLimitChanged, {{"upstream", about.id},
+                                             {"service", about.service},
+                                             {"from", from},
+                                             {"to", to},
+                                             {"slots", about.slots},
+                                             {"unlogged", *unlogged}});
 }
 
 void EdgeCore::OnFairnessRefusal(std::string_view team, std::string_view where,
                                  std::string_view name) {
   options_.metrics->OnFairnessRefusal(where);
-  const TimePoint now = BootClock::now();
-  if (now - fairness_refusal_logged_at_ < kLimitLogInterval) {
-    ++unlogged_fairness_refusals_;
-    return;
-  }
-  fairness_refusal_logged_at_ = now;
-  LogEvent(Event::kTeamExceedsShare,
-           {{"team", team},
-            {"where", where},
-            {"name", name},
-            {"unlogged", std::exchange(unlogged_fairness_refusals_, 0)}});
+  const auto unlogged = fairness_refusal_log_.Admit(BootClock::now());
+  if (!unlogged) return;
+  LogEvent(Event::kTeamExceedsShare, {{"team", team},
+                                      {"where", where},
+                                      {"name", name},
+                                      {"unlogged", *unlogged}});
 }
 
 ServicePtr EdgeCore::FindOrCreateService(const std::string& name) {
--- a/lacewingknot/edge/edge_core.h
+++ b/lacewingknot/edge/edge_core.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingknot/base/log_throttle.h"
 #include "lacewingknot/edge/edge_metrics.h"
 #include "lacewingknot/edge/header_names.h"
 #include "lacewingknot/edge/relay_table.h"
@@ -220,10 +221,9 @@
   // the same time.
   static constexpr Duration kLatestStatementsLifetime =
       std::chrono::milliseconds(250);
-  // Least time between two logged answers that were dropped.
-  static constexpr Duration kAnswerDroppedLogInterval = std::chrono::seconds(1);
-  // Least time between two logged changes of a limit of requests in flight.
-  static constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
+  // Least time between two logged events of a kind that may come with every
+  // request.
+  static constexpr Duration kLogInterval = std::chrono::seconds(1);
   // Interval of checks for due reports of demand.
   static constexpr Duration kDemandCheckInterval =
       std::chrono::milliseconds(250);
@@ -260,12 +260,9 @@
       std::make_shared<AnswerBudget>(AnswerBudget::Options{});
   std::shared_ptr<AnswerBudget> unread_budget_ =
       std::make_shared<AnswerBudget>(AnswerBudget::Options{});
-  TimePoint answer_dropped_logged_at_{};
-  std::size_t unlogged_dropped_answers_ = 0;
-  TimePoint limit_change_logged_at_{};
-  std::size_t unlogged_limit_changes_ = 0;
-  TimePoint fairness_refusal_logged_at_{};
-  std::int64_t unlogged_fairness_refusals_ = 0;
+  LogThrottle answer_dropped_log_{kLogInterval};
+  LogThrottle limit_change_log_{kLogInterval};
+  LogThrottle fairness_refusal_log_{kLogInterval};
   std::shared_ptr<const BoundTable> routes_;
   std::shared_ptr<const Directory> directory_;
   std::map<std::string, ServicePtr, std::less<>> services_;
