Contents by peers: one comparison of states, versions as one value, no frames for nobody

The server encoded and compressed each change on every daemon, though most have no follower; it now only records it then. A version is a StoreVersion instead of a request message with two fields. Gossip messages that carry something are built by MakeCarrier() in one place. What is sent is unchanged.

--- a/lacewingknot/edge/contents_server.cc
+++ b/lacewingknot/edge/contents_server.cc
@@ -17,11 +17,8 @@
 
 // Whether a follower with the contents of `request` has what `report` states.
 bool HasContents(const ContentsMessage& request, const ContentsUpdate& latest) {
-  const StoreState& own = latest.report.state;
-  const StoreState& known = request.state;
-  return request.epoch == latest.epoch && own.is_known() && known.is_known() &&
-         own.digest == known.digest &&
-         std::max(own.since, known.since) <= std::min(own.until, known.until);
+  return request.epoch == latest.epoch &&
+         AreSame(request.state, latest.report.state);
 }
 
 }  // namespace
@@ -87,14 +84,16 @@
     return;
   }
   follower.is_in_step = true;
+  const StoreVersion known{.epoch = request.epoch,
+                           .revision = request.store_revision};
   // A follower that is ahead gets the changes from its revision on.
-  const bool is_ahead = request.epoch == latest_.epoch &&
-                        request.store_revision > latest_.store_revision;
+  const bool is_ahead =
+      known.epoch == latest_.epoch && known.revision > latest_.store_revision;
   if (is_ahead || HasContents(request, latest_)) {
     follower.link->Send(std::make_shared<const std::string>(
         EncodeContentsFrame(MakeMessage(ContentsKind::kConfirmation, now))));
     options_.on_sent("confirmation");
-  } else if (const FramePtr changes = MakeMissedChanges(request, now)) {
+  } else if (const FramePtr changes = MakeMissedChanges(known, now)) {
     follower.link->Send(changes);
     options_.on_sent("changes");
   } else if (const FramePtr frame = MakeSnapshot(now)) {
@@ -122,9 +121,13 @@
   const TimePoint now = BootClock::now();
   if (!has_contents_ && !update.is_snapshot) return;
   const bool is_first = !std::exchange(has_contents_, true);
+  if (followers_.empty()) {
+    Adopt(std::move(update));
+    return;
+  }
   const bool has_changes = !update.items.empty();
-  const std::uint64_t epoch = latest_.epoch;
-  const std::uint64_t base = latest_.store_revision;
+  const StoreVersion base{.epoch = latest_.epoch,
+                          .revision = latest_.store_revision};
   // A source reads everything again after each loss of the store, mostly to
   // find the same contents.
   const bool is_same = HasContents(
@@ -132,21 +135,17 @@
   const std::string changes =
       update.is_snapshot ? "" : EncodeContentsItems(update.items);
   const Duration items_age = now - update.read_at;
-  ApplyItems(update);
   const bool is_snapshot = update.is_snapshot;
-  latest_ = std::move(update);
-  latest_.items = {};
+  Adopt(std::move(update));
   if (is_snapshot && (is_first || !is_same)) {
-    const FramePtr missed =
-        MakeMissedChanges({.epoch = epoch, .store_revision = base}, now);
-    if (missed) {
+    if (const FramePtr missed = MakeMissedChanges(base, now)) {
       SendToFollowers(missed, "changes");
     } else {
       SendSnapshots(now);
     }
   } else if (has_changes && !is_snapshot) {
     ContentsMessage message = MakeMessage(ContentsKind::kChanges, now);
-    message.base_revision = base;
+    message.base_revision = base.revision;
     std::string frame = EncodeContentsFrame(message, changes, items_age);
     if (frame.empty()) {
       SendSnapshots(now);
@@ -161,7 +160,7 @@
   }
 }
 
-void ContentsServer::ApplyItems(ContentsUpdate& update) {
+void ContentsServer::Adopt(ContentsUpdate update) {
   if (update.is_snapshot) {
     RememberMissing(update);
     items_.clear();
@@ -179,6 +178,17 @@
                         .refused = item.refused,
                         .read_at = update.read_at - item.age};
   }
+  latest_ = std::move(update);
+  latest_.items = {};
+}
+
+ContentsItem ContentsServer::MakeItem(const std::string& key, const Item& item,
+                                      TimePoint now) {
+  return {.key = key,
+          .value = item.value,
+          .revision = item.revision,
+          .refused = item.refused,
+          .age = now - item.read_at};
 }
 
 void ContentsServer::RememberMissing(const ContentsUpdate& update) {
@@ -212,30 +222,26 @@
 }
 
 ContentsServer::FramePtr ContentsServer::MakeMissedChanges(
-    const ContentsMessage& request, TimePoint now) const {
-  const std::uint64_t base = request.store_revision;
+    const StoreVersion& base, TimePoint now) const {
   // Without a digest the follower could not tell whether its contents belong
   // to the same history.
-  if (base == 0 || base < deletions_since_ || request.epoch != latest_.epoch ||
-      base > latest_.store_revision || !latest_.report.state.is_known()) {
+  if (base.revision == 0 || base.revision < deletions_since_ ||
+      base.epoch != latest_.epoch || base.revision > latest_.store_revision ||
+      !latest_.report.state.is_known()) {
     return nullptr;
   }
   std::vector<ContentsItem> changes;
   for (const auto& [key, item] : items_) {
-    if (item.revision <= base) continue;
-    changes.push_back({.key = key,
-                       .value = item.value,
-                       .revision = item.revision,
-                       .refused = item.refused,
-                       .age = now - item.read_at});
+    if (item.revision <= base.revision) continue;
+    changes.push_back(MakeItem(key, item, now));
   }
   for (const auto& [key, revision] : deletions_) {
-    if (revision <= base) continue;
+    if (revision <= base.revision) continue;
     changes.push_back({.key = key, .revision = revision, .deleted = true});
   }
   if (changes.size() > items_.size()) return nullptr;
   ContentsMessage message = MakeMessage(ContentsKind::kChanges, now);
-  message.base_revision = base;
+  message.base_revision = base.revision;
   std::string frame =
       EncodeContentsFrame(message, EncodeContentsItems(changes));
   if (frame.empty()) return nullptr;
@@ -244,9 +250,6 @@
 
 ContentsMessage ContentsServer::MakeMessage(ContentsKind kind,
                                             TimePoint now) const {
-  const auto age_of = [now](TimePoint at) {
-    return at == TimePoint{} ? std::nullopt : std::optional<Duration>(now - at);
-  };
   const StoreReport& report = latest_.report;
   return {.kind = kind,
           .epoch = latest_.epoch,
@@ -254,9 +257,9 @@
           .last_page_revision = latest_.last_page_revision,
           .revision = report.revision,
           .state = report.state,
-          .confirmation_age = age_of(report.confirmed_at),
-          .unbroken_for = age_of(report.unbroken_since),
-          .lost_for = age_of(latest_.lost_since.value_or(TimePoint{})),
+          .confirmation_age = AgeOf(report.confirmed_at, now),
+          .unbroken_for = AgeOf(report.unbroken_since, now),
+          .lost_for = AgeOf(latest_.lost_since.value_or(TimePoint{}), now),
           .pause = latest_.pause,
           .hops = latest_.hops};
 }
@@ -266,11 +269,7 @@
     std::vector<ContentsItem> items;
     items.reserve(items_.size());
     for (const auto& [key, item] : items_) {
-      items.push_back({.key = key,
-                       .value = item.value,
-                       .revision = item.revision,
-                       .refused = item.refused,
-                       .age = now - item.read_at});
+      items.push_back(MakeItem(key, item, now));
     }
     encoded_items_ = EncodeContentsItems(items);
     encoded_at_ = now;
--- a/lacewingknot/edge/contents_server.h
+++ b/lacewingknot/edge/contents_server.h
@@ -39,6 +39,7 @@
 #include "lacewingknot/base/error.h"
 #include "lacewingknot/edge/contents_messages.h"
 #include "lacewingknot/policy/store_state.h"
+#include "lacewingknot/policy/store_version.h"
 
 namespace lacewingknot::edge {
 
@@ -107,17 +108,19 @@
   void Accept();
   void OnRequest(Follower& follower, const ContentsMessage& request);
   void Apply(ContentsUpdate update);
-  void ApplyItems(ContentsUpdate& update);
+  // Records `update` as what is in force.
+  void Adopt(ContentsUpdate update);
   // Remembers the items that `update`, a snapshot, lacks as deleted. Otherwise
   // followers could not resume after the source has read everything again.
   void RememberMissing(const ContentsUpdate& update);
   void RememberDeletion(const std::string& key, std::uint64_t revision);
   // A message without items about what is in force.
   ContentsMessage MakeMessage(ContentsKind kind, TimePoint now) const;
-  // Changes since the contents that the follower has; null if they are not all
+  // Changes since the contents of version `base`; null if they are not all
   // known, or too many for a snapshot to be larger.
-  FramePtr MakeMissedChanges(const ContentsMessage& request,
-                             TimePoint now) const;
+  FramePtr MakeMissedChanges(const StoreVersion& base, TimePoint now) const;
+  static ContentsItem MakeItem(const std::string& key, const Item& item,
+                               TimePoint now);
   // The frame of a snapshot; null if it would be too large.
   FramePtr MakeSnapshot(TimePoint now);
   void SendSnapshots(TimePoint now);
--- a/lacewingknot/edge/peer_gossip.cc
+++ b/lacewingknot/edge/peer_gossip.cc
@@ -155,9 +155,6 @@
   std::size_t bytes = 0;
   const TimePoint now = BootClock::now();
   const StoreReport report = LatestStoreReport();
-  const auto age_of = [now](TimePoint at) {
-    return at == TimePoint{} ? std::nullopt : std::optional<Duration>(now - at);
-  };
   for (const OutgoingMemberMessage& outgoing : messages) {
     bytes +=
         kUdpAndIpHeaderBytes +
@@ -165,8 +162,8 @@
                      {.membership = outgoing.message,
                       .store_revision = report.revision,
                       .store_epoch = EpochToTell(report, now),
-                      .store_confirmation_age = age_of(report.confirmed_at),
-                      .store_unbroken_for = age_of(report.unbroken_since),
+                      .store_confirmation_age = AgeOf(report.confirmed_at, now),
+                      .store_unbroken_for = AgeOf(report.unbroken_since, now),
                       .store_state = StateToTell(report, now)});
   }
   return bytes;
@@ -264,14 +261,18 @@
 std::size_t PeerGossip::SendStatements(
     const std::string& address, std::span<const StatementReport> reports) {
   if (reports.empty()) return 0;
-  const StoreReport store = LatestStoreReport();
   const auto part =
       reports.first(std::min(reports.size(), GossipMessage::kMaxStatements));
-  return SendDatagram(address,
-                      {.membership = membership_.MakeCarrier(address).message,
-                       .store_revision = store.revision,
-                       .store_epoch = EpochToTell(store, BootClock::now()),
-                       .statements = {part.begin(), part.end()}});
+  GossipMessage message = MakeCarrier(address);
+  message.statements = {part.begin(), part.end()};
+  return SendDatagram(address, message);
+}
+
+GossipMessage PeerGossip::MakeCarrier(const std::string& address) {
+  const StoreReport store = LatestStoreReport();
+  return {.membership = membership_.MakeCarrier(address).message,
+          .store_revision = store.revision,
+          .store_epoch = EpochToTell(store, BootClock::now())};
 }
 
 std::vector<DemandSum> PeerGossip::RecordDemands(
@@ -287,7 +288,6 @@
 }
 
 void PeerGossip::SendDemands(std::span<const DemandReport> reports) {
-  const StoreReport store = LatestStoreReport();
   std::map<std::string, std::vector<DemandReport>> by_keeper;
   for (const DemandReport& report : reports) {
     auto& group = by_keeper[KeeperOf(report.upstream, alive_)];
@@ -297,11 +297,9 @@
     if (keeper == options_.listen) {
       options_.on_demand_sums(RecordDemands(keeper, group));
     } else {
-      SendDatagram(keeper,
-                   {.membership = membership_.MakeCarrier(keeper).message,
-                    .store_revision = store.revision,
-                    .store_epoch = EpochToTell(store, BootClock::now()),
-                    .demands = group});
+      GossipMessage message = MakeCarrier(keeper);
+      message.demands = group;
+      SendDatagram(keeper, message);
     }
   }
 }
@@ -500,12 +498,9 @@
         RecordDemands(membership.sender.address, message.value().demands);
     if (!sums.empty()) {
       const std::string& daemon = membership.sender.address;
-      const StoreReport store = LatestStoreReport();
-      SendDatagram(daemon,
-                   {.membership = membership_.MakeCarrier(daemon).message,
-                    .store_revision = store.revision,
-                    .store_epoch = EpochToTell(store, BootClock::now()),
-                    .demand_sums = std::move(sums)});
+      GossipMessage answer = MakeCarrier(daemon);
+      answer.demand_sums = std::move(sums);
+      SendDatagram(daemon, answer);
     }
   }
   contact_.OnHeard(membership.sender.data_centre, now);
--- a/lacewingknot/edge/peer_gossip.h
+++ b/lacewingknot/edge/peer_gossip.h
@@ -203,6 +203,8 @@
                       TimePoint now);
   // What a datagram tells of the store's contents.
   StoreState StateToTell(const StoreReport& report, TimePoint now) const;
+  // A message of this daemon to `address` that carries something else.
+  GossipMessage MakeCarrier(const std::string& address);
   // The epoch that a datagram tells; 0 for none.
   std::uint64_t EpochToTell(const StoreReport& report, TimePoint now) const;
 
--- a/lacewingknot/policy/store_state.cc
+++ b/lacewingknot/policy/store_state.cc
@@ -12,10 +12,13 @@
 // A report seems later than it was by its time on the network.
 constexpr Duration kMaxReportDelay = std::chrono::seconds(1);
 
+bool HaveCommonRevision(const StoreState& one, const StoreState& other) {
+  return std::max(one.since, other.since) <= std::min(one.until, other.until);
+}
+
 // Whether the contents differ at a revision that both states include.
 bool Contradict(const StoreState& one, const StoreState& other) {
-  return std::max(one.since, other.since) <= std::min(one.until, other.until) &&
-         one.digest != other.digest;
+  return HaveCommonRevision(one, other) && one.digest != other.digest;
 }
 
 // Whether the store had a lower revision when `later` read it than in its
@@ -29,6 +32,11 @@
 
 }  // namespace
 
+bool AreSame(const StoreState& one, const StoreState& other) {
+  return one.is_known() && other.is_known() && one.digest == other.digest &&
+         HaveCommonRevision(one, other);
+}
+
 void ContentsDigest::Put(const std::string& key, std::string_view value) {
   const std::uint64_t key_hash = XXH3_64bits(key.data(), key.size());
   const std::uint64_t hash =
--- a/lacewingknot/policy/store_state.h
+++ b/lacewingknot/policy/store_state.h
@@ -57,6 +57,15 @@
   bool operator==(const StoreState&) const = default;
 };
 
+// Whether both states are known and have the same contents at a revision that
+// both include.
+bool AreSame(const StoreState& one, const StoreState& other);
+
+// Returns the time since `at`; empty if `at` is not set.
+inline std::optional<Duration> AgeOf(TimePoint at, TimePoint now) {
+  return at == TimePoint{} ? std::nullopt : std::optional<Duration>(now - at);
+}
+
 // What a daemon tells its peers of the store.
 struct StoreReport {
   // The store's epoch (policy/store_version.h); 0 if unknown, also from daemons
