--- a/lacewingknot/policy/team_quota.h
+++ b/lacewingknot/policy/team_quota.h
@@ -417,6 +417,8 @@
   bool TakeHeld(TeamState& state, TimePoint now);
   void ExpireHeld(TeamState& state, TimePoint now);
   void CountDemand(TeamState& state, TimePoint now);
+  // Whether the daemon did not answer lately.
+  bool IsSilent(std::string_view address, TimePoint now) const;
   void StartAsk(const std::string& team, TeamState& state, TimePoint now);
   void AskAhead(const std::string& team, TeamState& state, TimePoint now);
   // Number of tokens that the team's demand here needs in advance.
--- a/lacewingknot/policy/team_quota_client.cc
+++ b/lacewingknot/policy/team_quota_client.cc
@@ -88,12 +88,16 @@
   }
   const auto ranking = RankKeepers(team, members_, kRanks);
   for (const std::string& address : ranking) {
-    const auto silent = silent_until_.find(address);
-    if (silent == silent_until_.end() || silent->second <= now) return address;
+    if (!IsSilent(address, now)) return address;
   }
   return ranking.empty() ? std::string() : ranking.back();
 }
 
+bool TeamQuotaClient::IsSilent(std::string_view address, TimePoint now) const {
+  const auto silent = silent_until_.find(address);
+  return silent != silent_until_.end() && silent->second > now;
+}
+
 void TeamQuotaClient::CountDemand(TeamState& state, TimePoint now) {
   const double elapsed = std::max(0.0, Seconds(now - state.counted_at));
   state.counted_at = now;
@@ -166,9 +170,8 @@
     ask.is_stand_in = true;
   } else {
     // Keepers that did not answer lately come last.
-    while (ask.rank + 1 < state.ranking.size()) {
-      const auto silent = silent_until_.find(state.ranking[ask.rank]);
-      if (silent == silent_until_.end() || silent->second <= now) break;
+    while (ask.rank + 1 < state.ranking.size() &&
+           IsSilent(state.ranking[ask.rank], now)) {
       ++ask.rank;
     }
     ask.is_stand_in = ask.rank > 0;
--- a/lacewingknot/policy/wait_queue.cc
+++ b/lacewingknot/policy/wait_queue.cc
@@ -117,9 +117,7 @@
   const auto level = levels_.find(priority);
   const double ahead =
       level == levels_.end() ? 0 : CountAhead(level->second, team);
-  return opens_at +
-         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-             ExpectedTurns(priority, ahead) / per_second));
+  return opens_at + TimeOfTurns(priority, ahead, per_second);
 }
 
 TimePoint WaitQueue::ExpectedStartInArrivalOrder(std::int64_t priority,
@@ -130,9 +128,13 @@
   const double ahead = level == levels_.end()
                            ? 0
                            : static_cast<double>(level->second.waiting_count);
-  return opens_at +
-         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-             ExpectedTurns(priority, ahead) / per_second));
+  return opens_at + TimeOfTurns(priority, ahead, per_second);
+}
+
+Duration WaitQueue::TimeOfTurns(std::int64_t priority, double ahead,
+                                double per_second) const {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      ExpectedTurns(priority, ahead) / per_second));
 }
 
 WaitQueue::Id WaitQueue::Add(std::int64_t priority, std::string_view team) {
--- a/lacewingknot/policy/wait_queue.h
+++ b/lacewingknot/policy/wait_queue.h
@@ -93,6 +93,9 @@
   // Returns the expected time until a request of `priority` starts, in turns.
   // `ahead` is the number of requests of that priority that start before.
   double ExpectedTurns(std::int64_t priority, double ahead) const;
+  // The time that these take if `per_second` start.
+  Duration TimeOfTurns(std::int64_t priority, double ahead,
+                       double per_second) const;
   // Returns how many requests start before one of `team` that is added now.
   static double CountAhead(const Level& level, std::string_view team);
   // Returns the rank of a request of `team` that starts after `more` others of
