--- a/lacewingknot/ctl/explain_request.cc
+++ b/lacewingknot/ctl/explain_request.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "lacewingknot/ctl/internal/command_helpers.h"
+#include "lacewingknot/net/query_value.h"
 
 namespace lacewingknot::ctl {
 namespace {
@@ -44,22 +45,6 @@
   return key;
 }
 
-std::string EncodeParameter(const std::string& value) {
-  constexpr std::string_view kHex = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char c : value) {
-    const auto byte = static_cast<unsigned char>(c);
-    const bool is_plain = (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
-                          (c >= 'a' && c <= 'z');
-    if (is_plain) {
-      encoded += c;
-    } else {
-      encoded += {'%', kHex[byte / kHex.size()], kHex[byte % kHex.size()]};
-    }
-  }
-  return encoded;
-}
-
 // Begins a line of text output.
 std::ostream& Line(std::ostream& out, std::string_view label) {
   return out << std::left << std::setw(kLabelWidth) << label;
@@ -238,8 +223,8 @@
     headers["Authorization"] = "Bearer " + key.value();
   }
   const std::string target =
-      "/explain-request?host=" + EncodeParameter(options.host) +
-      "&path=" + EncodeParameter(options.path);
+      "/explain-request?host=" + EncodeQueryValue(options.host) +
+      "&path=" + EncodeQueryValue(options.path);
   const auto reply =
       internal::SendRequest(daemon, "GET", target, "", output, headers);
   if (!reply) return kExitUsage;
