--- a/review/standins-2/http_stand_in.cc
+++ b/review/standins-2/http_stand_in.cc
@@ -97,7 +97,21 @@
       break;
     }
   }
-  close(socket);
+}
+
+// Returns a listening socket; -1 if the address cannot be bound.
+int Listen(const std::string& address, int port) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int enabled = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+  const sockaddr_in bound = MakeAddress(address, port);
+  if (bind(listener, reinterpret_cast<const sockaddr*>(&bound),
+           sizeof(bound)) != 0 ||
+      listen(listener, SOMAXCONN) != 0) {
+    close(listener);
+    return -1;
+  }
+  return listener;
 }
 
 }  // namespace
@@ -141,23 +155,59 @@
   return value;
 }
 
-bool Serve(const std::string& address, int port, HttpHandler handler) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  const int enabled = 1;
-  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  const sockaddr_in bound = MakeAddress(address, port);
-  if (bind(listener, reinterpret_cast<const sockaddr*>(&bound),
-           sizeof(bound)) != 0 ||
-      listen(listener, SOMAXCONN) != 0) {
-    close(listener);
-    return false;
+CrashableServer::CrashableServer(std::string address, int port,
+                                 HttpHandler handler)
+    : address_(std::move(address)), port_(port), handler_(std::move(handler)) {}
+
+bool CrashableServer::Start() {
+  listener_ = Listen(address_, port_);
+  if (listener_ < 0) return false;
+  sockets_ = std::make_shared<Sockets>();
+  sockets_->is_running = true;
+  std::thread([listener = listener_, sockets = sockets_, handler = handler_] {
+    for (;;) {
+      const int accepted = accept(listener, nullptr, nullptr);
+      const std::lock_guard lock(sockets->mutex);
+      if (!sockets->is_running) {
+        if (accepted >= 0) close(accepted);
+        close(listener);
+        return;
+      }
+      if (accepted < 0) continue;
+      sockets->open.insert(accepted);
+      std::thread([accepted, sockets, handler] {
+        ServeConnection(accepted, handler);
+        const std::lock_guard closing(sockets->mutex);
+        sockets->open.erase(accepted);
+        close(accepted);
+      }).detach();
+    }
+  }).detach();
+  return true;
+}
+
+void CrashableServer::Crash() {
+  const std::lock_guard lock(sockets_->mutex);
+  sockets_->is_running = false;
+  shutdown(listener_, SHUT_RDWR);
+  for (const int connection : sockets_->open) {
+    // Without a graceful end, as when a process is killed with bytes unread.
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(connection, SHUT_RDWR);
   }
+}
+
+bool Serve(const std::string& address, int port, HttpHandler handler) {
+  const int listener = Listen(address, port);
+  if (listener < 0) return false;
   std::thread([listener, handler = std::move(handler)] {
     for (;;) {
       const int accepted = accept(listener, nullptr, nullptr);
       if (accepted < 0) continue;
       std::thread([accepted, handler] {
         ServeConnection(accepted, handler);
+        close(accepted);
       }).detach();
     }
   }).detach();
--- a/review/standins-2/http_stand_in.h
+++ b/review/standins-2/http_stand_in.h
@@ -9,7 +9,10 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace review {
@@ -42,6 +45,29 @@
 // cannot be bound.
 bool Serve(const std::string& address, int port, HttpHandler handler);
 
+// A server that can crash: its connections break off, and new ones are refused
+// until it starts again.
+class CrashableServer {
+ public:
+  CrashableServer(std::string address, int port, HttpHandler handler);
+  bool Start();
+  void Crash();
+
+ private:
+  // Shared with the threads of the connections.
+  struct Sockets {
+    std::mutex mutex;
+    std::set<int> open;
+    bool is_running = false;
+  };
+
+  const std::string address_;
+  const int port_;
+  const HttpHandler handler_;
+  int listener_ = -1;
+  std::shared_ptr<Sockets> sockets_;
+};
+
 // Sends `request` (head and body as they are) over a new connection and reads
 // one answer; empty if there is none within `timeout`.
 std::optional<HttpMessage> Exchange(const std::string& address, int port,
