--- a/review/standins-2/restart_wait_case.cc
+++ b/review/standins-2/restart_wait_case.cc
@@ -183,7 +183,7 @@
   if (has_trouble_) {
     b1.Crash();
     Note("b1 crashes");
-    std::this_thread::sleep_for(milliseconds(600));
+    std::this_thread::sleep_for(milliseconds(250));
     is_busy_ = true;
     if (!b1.Start()) return kNotRun;
     Note("b1 starts again, busy");
