--- a/review/standins-2/restart_wait_case.cc
+++ b/review/standins-2/restart_wait_case.cc
@@ -249,7 +249,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) {
-    std::cerr << "usage: retry_after_case DIRECTORY RECORD\n";
+    std::cerr << "usage: restart_wait_case DIRECTORY RECORD\n";
     return review::kNotRun;
   }
   const char* trouble = std::getenv("TROUBLE");
